Lay out the workspace, the configuration document and the border vocabularies

Cause: nothing exists yet; five parts are to be built side by side, so the types that they share come first. Ruled out: one package (the deciders could not be reviewed or embedded without tokio); an etcd client (none can be had here, so the platform is spoken to in the Consul manner over HTTP). Conclusion: the borders compile and are documented; no behaviour yet.

--- /dev/null
+++ b/crates/filbertbay/src/lib.rs
@@ -0,0 +1,3 @@
+//! Daemon of a filbertbay entry instance, as a library.
+
+pub mod settings;
--- /dev/null
+++ b/crates/filbertbay/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of one daemon, read from a JSON file.
+//!
+//! # Examples
+//!
+//! ```
+//! use filbertbay::settings::Settings;
+//!
+//! let settings: Settings = serde_json::from_str(r#"{
+//!     "name": "quimper-1",
+//!     "data_centre": "quimper",
+//!     "callers": "127.0.0.1:6432",
+//!     "peers": "127.0.0.1:7432",
+//!     "forwards": "127.0.0.1:7433",
+//!     "metrics": "127.0.0.1:9432",
+//!     "platform": "http://127.0.0.1:8500",
+//!     "endpoint_user": "filbertbay",
+//!     "endpoint_password": "secret",
+//!     "token_secrets": ["00112233445566778899aabbccddeeff"]
+//! }"#)?;
+//! assert_eq!(settings.data_centre.as_ref(), "quimper");
+//! # Ok::<(), serde_json::Error>(())
+//! ```
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance, unique in the fleet.
+    pub name: Arc<str>,
+    /// Data centre that this instance runs in.
+    pub data_centre: Arc<str>,
+    /// Address that callers connect to.
+    pub callers: SocketAddr,
+    /// Address that other instances send control messages to.
+    pub peers: SocketAddr,
+    /// Address that other instances forward statements to.
+    pub forwards: SocketAddr,
+    /// Address of the metrics and of the health answer.
+    pub metrics: SocketAddr,
+    /// Base address of the platform's HTTP interface.
+    pub platform: Arc<str>,
+    /// User that the daemon presents to endpoints.
+    pub endpoint_user: Arc<str>,
+    /// Password that the daemon presents to endpoints.
+    pub endpoint_password: Arc<str>,
+    /// Secrets of session tokens in hexadecimal; the first signs, all verify.
+    pub token_secrets: Vec<Arc<str>>,
+    /// TLS towards callers; without it callers connect in the clear.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_tls: Option<Tls>,
+    /// TLS between instances; without it peers must be on a loopback address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_tls: Option<Tls>,
+    /// Caller connections that the daemon accepts.
+    #[serde(default = "Settings::default_max_callers")]
+    pub max_callers: usize,
+    /// Longest wait for running work after SIGTERM, in milliseconds.
+    #[serde(default = "Settings::default_drain_ms")]
+    pub drain_ms: u64,
+    /// Longest time that the daemon serves without hearing the configuration from the platform or
+    /// a peer, in milliseconds; without it the daemon serves on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub silence_ms: Option<u64>,
+    /// Threads that serve callers; zero takes one for each core.
+    #[serde(default)]
+    pub traffic_threads: usize,
+    /// Format of the log.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Files of one TLS identity, in PEM.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Certificate chain.
+    pub certificate: PathBuf,
+    /// Private key.
+    pub key: PathBuf,
+    /// Authorities that sign the other side's certificate, where it must present one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub authorities: Option<PathBuf>,
+}
+
+/// Format of the log.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum Log {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// For a person at a terminal.
+    Terminal,
+}
+
+impl Settings {
+    fn default_max_callers() -> usize {
+        20_000
+    }
+
+    fn default_drain_ms() -> u64 {
+        30_000
+    }
+}
--- /dev/null
+++ b/crates/filbertctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/protocol/src/endpoint.rs
@@ -0,0 +1,105 @@
+//! What a member of a database group answers about itself, and the orders that it takes.
+//!
+//! Members speak the PostgreSQL protocol. The functions below are called as ordinary statements on
+//! a control connection and use no slot:
+//!
+//! | statement | answer |
+//! |---|---|
+//! | `SELECT * FROM group_status()` | one row, see [`Status`] |
+//! | `SELECT group_fence(term)` | the row of `group_status()` after the fence |
+//! | `SELECT group_promote(term)` | the row of `group_status()` after the promotion |
+//! | `SELECT group_follow('ip:port', term)` | the row of `group_status()` |
+//!
+//! - A fence is accepted if its term is higher than the member's own term and than every fence
+//!   before; from then on the member takes no entry from a primary of a lower term.
+//! - A promotion is accepted if its term is higher than the member's own term and not lower than
+//!   the fence. The member applies all that it received and writes a marker of the new term.
+//! - An order to follow is accepted if its term is not lower than the fence.
+//! - A refused order answers SQLSTATE 55000 and changes nothing.
+//!
+//! A row has the columns `received_term`, `received_index`, `applied_term`, `applied_index`,
+//! `fenced_term`, `role` (`primary` or `replica`) and `heard_ms` (null on a primary).
+
+use std::time::Duration;
+
+use filbertbay_state::position::{Position, Term};
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+/// Statement that asks a member for its status.
+pub const STATUS_SQL: &str = "SELECT * FROM group_status()";
+
+/// SQLSTATE of an order that a member refused.
+pub const ORDER_REFUSED: &str = "55000";
+
+/// Names of the status columns, in their order.
+pub const STATUS_COLUMNS: [&str; 7] = [
+    "received_term",
+    "received_index",
+    "applied_term",
+    "applied_index",
+    "fenced_term",
+    "role",
+    "heard_ms",
+];
+
+/// Role that a member believes it has.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Hash, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum Role {
+    /// Takes writes.
+    Primary,
+    /// Follows a primary.
+    #[default]
+    Replica,
+}
+
+/// What a member says about itself, read at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Last entry in the member's log.
+    pub received: Position,
+    /// Last entry that reads see.
+    pub applied: Position,
+    /// Highest term that the member was fenced with or leads.
+    pub fenced: Term,
+    /// Role that the member believes it has.
+    pub role: Role,
+    /// Time since a replica last heard from its primary; reads are at most this much older than
+    /// what was received.
+    pub heard: Option<Duration>,
+}
+
+/// Order that a member takes on a control connection.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Order {
+    /// Take no entry of a term lower than this.
+    Fence(Term),
+    /// Become the primary of this term.
+    Promote(Term),
+    /// Follow the primary of this term at this address.
+    Follow(std::net::SocketAddr, Term),
+}
+
+impl Order {
+    /// Returns the statement that carries the order.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use filbertbay_protocol::endpoint::Order;
+    /// use filbertbay_state::position::Term;
+    ///
+    /// assert_eq!(Order::Fence(Term(7)).to_sql(), "SELECT group_fence(7)");
+    /// ```
+    pub fn to_sql(&self) -> String {
+        match self {
+            Self::Fence(term) => format!("SELECT group_fence({term})"),
+            Self::Promote(term) => format!("SELECT group_promote({term})"),
+            Self::Follow(address, term) => format!("SELECT group_follow('{address}', {term})"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,10 @@
+//! Vocabularies that filbertbay speaks with the platform, with endpoints and between instances.
+//!
+//! This package names messages and the traits that carry them. Sockets live in the transport
+//! package, decisions in the coordination package.
+//!
+//! - [`platform`] is the small key-value service that holds what must last.
+//! - [`endpoint`] is what a member of a database group answers about itself.
+
+pub mod endpoint;
+pub mod platform;
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,21 @@
+//! State that instances of filbertbay share: configuration, keys, terms and positions.
+//!
+//! This package holds plain data. It performs no I/O, reads no clock and starts no task, so that
+//! every other package may depend on it.
+//!
+//! - [`position`] orders what a database group has written, across changes of primary.
+//! - [`document`] is the operators' configuration as it is written in JSON.
+//!
+//! # Examples
+//!
+//! ```
+//! use filbertbay_state::position::{Position, Term};
+//!
+//! let before = Position::new(Term(3), 900);
+//! let after = Position::new(Term(4), 20);
+//! assert!(after > before);
+//! ```
+
+pub mod document;
+pub mod id;
+pub mod position;
