--- /dev/null
+++ b/crates/filbertctl/src/command/mod.rs
@@ -0,0 +1,32 @@
+//! Commands, one file each.
+//!
+//! A file holds its `Options`, parsed by `bpaf`, and `run`.
+
+mod config;
+
+use bpaf::Bpaf;
+
+use crate::exit::{Code, Failure};
+
+/// Operates a fleet of filbertbay.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, footer(Code::table().as_str()))]
+pub enum Command {
+    /// Shows, checks and changes the configuration.
+    #[bpaf(command)]
+    Config(#[bpaf(external(config::options))] config::Options),
+}
+
+/// Returns the parser of the whole command line.
+pub fn options() -> bpaf::OptionParser<Command> {
+    command()
+}
+
+impl Command {
+    /// Runs the command.
+    pub async fn run(self) -> Result<(), Failure> {
+        match self {
+            Self::Config(options) => config::run(options).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertctl/src/exit.rs
@@ -0,0 +1,73 @@
+//! Failures of a command and the exit codes that tell them apart.
+
+use std::fmt;
+use std::process::ExitCode;
+
+use strum::{Display, EnumIter, IntoEnumIterator};
+
+/// Why a command ended without success; the number is the exit code.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Code {
+    /// A check or an invariant did not hold.
+    Failed = 1,
+    /// The command line, a file or a name given by the operator is wrong.
+    Input = 2,
+    /// The patch was refused; nothing changed.
+    Refused = 3,
+    /// The platform or an instance could not be reached; nothing changed.
+    Unreachable = 4,
+    /// No answer came; the change may have taken effect.
+    Unknown = 5,
+    /// A stored value could not be understood.
+    Malformed = 6,
+}
+
+impl Code {
+    /// Returns what the code stands for, as `--help` shows it.
+    pub fn meaning(self) -> &'static str {
+        match self {
+            Self::Failed => "a check or an invariant did not hold",
+            Self::Input => "the command line, a file or a name is wrong",
+            Self::Refused => "the patch was refused; nothing changed",
+            Self::Unreachable => "the platform can't be reached; nothing changed",
+            Self::Unknown => "no answer came; submit the same patch id again",
+            Self::Malformed => "a stored value can't be understood",
+        }
+    }
+
+    /// Returns the list of exit codes for `--help`.
+    pub fn table() -> String {
+        let lines = Self::iter().map(|code| format!("  {} {}", code as u8, code.meaning()));
+        let lines: Vec<_> = lines.collect();
+        format!("Exit codes:\n  0 success\n{}", lines.join("\n"))
+    }
+}
+
+/// Failure of a command.
+#[derive(Debug)]
+pub struct Failure {
+    code: Code,
+    report: miette::Report,
+}
+
+impl Failure {
+    /// Creates a failure from a code and a message.
+    pub fn new<M>(code: Code, message: M) -> Self
+    where
+        M: fmt::Display + fmt::Debug + Send + Sync + 'static,
+    {
+        Self::from_report(code, miette::Report::msg(message))
+    }
+
+    /// Creates a failure from a code and a diagnostic that may point into a text.
+    pub fn from_report(code: Code, report: miette::Report) -> Self {
+        Self { code, report }
+    }
+
+    /// Prints the failure to standard error and returns its exit code.
+    pub fn report(&self) -> ExitCode {
+        eprintln!("{:?}", self.report);
+        ExitCode::from(self.code as u8)
+    }
+}
--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -16,6 +16,9 @@
 /// Largest value that the platform holds, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Time after which an instance leaves the list unless it announces itself again.
+pub const REGISTRATION_TTL: Duration = Duration::from_mins(1);
+
 /// Modification index of a key; zero stands for a key that does not exist.
 #[derive(
     Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
@@ -145,7 +148,7 @@
     /// Takes a key for a lease if no other lease holds it, and tells whether it did.
     async fn acquire(&self, key: &str, value: Vec<u8>, lease: &Lease) -> Result<bool, Error>;
 
-    /// Announces this instance in the list of instances.
+    /// Announces this instance in the list of instances, for [`REGISTRATION_TTL`].
     async fn register(&self, instance: &Instance) -> Result<(), Error>;
 
     /// Reads the lagging list of instances.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,7 +5,9 @@
 //!
 //! - [`position`] orders what a database group has written, across changes of primary.
 //! - [`status`] is what a member says about itself.
-//! - [`document`] is the operators' configuration as it is written in JSON.
+//! - [`document`] is the operators' configuration as it is written in JSON, [`check`] finds its
+//!   problems, and [`snapshot`] compiles it for look-up under its [`version`].
+//! - [`key`] digests and compares caller keys.
 //!
 //! # Examples
 //!
@@ -17,7 +19,11 @@
 //! assert!(after > before);
 //! ```
 
+pub mod check;
 pub mod document;
 pub mod id;
+pub mod key;
 pub mod position;
+pub mod snapshot;
 pub mod status;
+pub mod version;
--- /dev/null
+++ b/crates/state/src/snapshot.rs
@@ -0,0 +1,425 @@
+//! Checked configuration, compiled for look-up.
+//!
+//! A [`Snapshot`] holds each section of a [`Document`] in an arena that is sorted by name, and
+//! refers from one section to another by the ids of [`id`](crate::id). It is immutable and cheap to
+//! clone; control publishes a new one for each version.
+//!
+//! # Examples
+//!
+//! ```
+//! use filbertbay_state::document::Document;
+//! use filbertbay_state::key::Digest;
+//! use filbertbay_state::snapshot::Snapshot;
+//! use filbertbay_state::version::Version;
+//!
+//! let text = r#"{
+//!     "data_centres": {"quimper": {"region": "bretagne"}},
+//!     "groups": {"orders": {"members": {
+//!         "orders-1": {"data_centre": "quimper", "address": "127.0.0.1:5432",
+//!                      "connections": 16, "slots": 2}}}},
+//!     "routes": {"orders": {"group": "orders"}},
+//!     "workspaces": {"shop": {"rate": {"per_second": 50, "burst": 20}, "routes": ["orders"],
+//!         "keys": {"k1": {"digest":
+//!             "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"}}}}
+//! }"#;
+//! let document: Document = serde_json::from_str(text)?;
+//! let snapshot = Snapshot::compile(Version(1), &document)?;
+//!
+//! let shop = snapshot.workspace("shop").expect("configured");
+//! let orders = snapshot.route("orders").expect("configured");
+//! assert!(snapshot.allows(shop, orders));
+//! assert_eq!(snapshot.find_key(shop, "abc").as_deref(), Some("k1"));
+//! assert_eq!(snapshot.find_key(shop, "wrong"), None);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::{Deref, Index};
+use std::sync::Arc;
+
+use subtle::{ConditionallySelectable, ConstantTimeEq};
+
+use crate::check::{self, Problem};
+use crate::document::{self, Availability, Document, Grant, Rate};
+use crate::id;
+use crate::key::Digest;
+use crate::version::Version;
+
+/// Configuration of one version, compiled for look-up.
+///
+/// Clones share one allocation. The snapshot dereferences to [`Arenas`].
+#[derive(Clone, Debug)]
+pub struct Snapshot(Arc<Arenas>);
+
+/// Sections of a [`Snapshot`].
+#[derive(Debug)]
+#[non_exhaustive]
+pub struct Arenas {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Data centres, sorted by name.
+    pub data_centres: Box<[DataCentre]>,
+    /// Database groups, sorted by name.
+    pub groups: Box<[Group]>,
+    /// Members of all groups, sorted by group and name.
+    pub members: Box<[Member]>,
+    /// Routes, sorted by name.
+    pub routes: Box<[Route]>,
+    /// Workspaces, sorted by name.
+    pub workspaces: Box<[Workspace]>,
+}
+
+/// Data centre of a [`Snapshot`].
+#[derive(Debug)]
+pub struct DataCentre {
+    /// Name, unique in the configuration.
+    pub name: Arc<str>,
+    /// Region that the data centre lies in.
+    pub region: Arc<str>,
+    /// Whether it takes new work.
+    pub availability: Availability,
+}
+
+/// Database group of a [`Snapshot`].
+#[derive(Debug)]
+pub struct Group {
+    /// Name, unique in the configuration.
+    pub name: Arc<str>,
+    /// Members, in the order of their names.
+    pub members: Box<[id::Member]>,
+    /// Member that operators want as primary while it is available.
+    pub preferred_primary: Option<id::Member>,
+}
+
+/// Member of a group of a [`Snapshot`].
+#[derive(Debug)]
+pub struct Member {
+    /// Name, unique in its group.
+    pub name: Arc<str>,
+    /// Group that the member belongs to.
+    pub group: id::Group,
+    /// Data centre that the member lies in.
+    pub data_centre: id::DataCentre,
+    /// Address by IP number.
+    pub address: SocketAddr,
+    /// Whether both the member and its data centre take new work.
+    pub availability: Availability,
+    /// Connections that the member accepts in all.
+    pub connections: u32,
+    /// Statements that the member runs at once.
+    pub slots: u32,
+}
+
+/// Route of a [`Snapshot`].
+#[derive(Debug)]
+pub struct Route {
+    /// Name, unique in the configuration.
+    pub name: Arc<str>,
+    /// Group that serves the route.
+    pub group: id::Group,
+    /// Settings as the document has them.
+    pub settings: document::Route,
+}
+
+/// Workspace of a [`Snapshot`].
+#[derive(Debug)]
+pub struct Workspace {
+    /// Name, unique in the configuration.
+    pub name: Arc<str>,
+    /// Statements that the workspace may run, summed over all instances.
+    pub rate: Rate,
+    /// Weight in queues, relative to other workspaces.
+    pub weight: u32,
+    /// Routes that the workspace may use, in the order of their ids.
+    pub routes: Box<[id::Route]>,
+    /// Keys that callers may present; withdrawn ones are left out.
+    pub keys: Box<[Key]>,
+}
+
+/// Granted key of a [`Workspace`].
+#[derive(Debug)]
+pub struct Key {
+    /// Id, unique in the workspace.
+    pub id: Arc<str>,
+    /// Digest of the key.
+    pub digest: Digest,
+}
+
+/// Document that does not compile, with all of its problems.
+#[derive(Clone, Debug, thiserror::Error)]
+pub struct Error {
+    problems: Vec<Problem>,
+}
+
+impl Error {
+    /// Returns what is wrong, in the order of the document's sections; never empty.
+    pub fn problems(&self) -> &[Problem] {
+        &self.problems
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let first = self.problems.first().map(ToString::to_string);
+        let others = self.problems.len().saturating_sub(1);
+        write!(f, "{}", first.unwrap_or_default())?;
+        if others > 0 {
+            write!(f, " (and {others} more)")?;
+        }
+        Ok(())
+    }
+}
+
+impl Snapshot {
+    /// Checks a document and compiles it.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems that [`check::check`] finds.
+    pub fn compile(version: Version, document: &Document) -> Result<Self, Error> {
+        let problems = check::check(document);
+        if !problems.is_empty() {
+            return Err(Error { problems });
+        }
+        let compiler = Compiler::new(document);
+        Ok(Self(Arc::new(compiler.compile(version))))
+    }
+
+    /// Returns the empty configuration of version zero.
+    pub fn empty() -> Self {
+        let compiler = Compiler::new(&Document::default()).compile(Version(0));
+        Self(Arc::new(compiler))
+    }
+}
+
+impl Deref for Snapshot {
+    type Target = Arenas;
+
+    fn deref(&self) -> &Arenas {
+        &self.0
+    }
+}
+
+impl Arenas {
+    /// Returns the version of the configuration.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Finds a data centre by name.
+    pub fn data_centre(&self, name: &str) -> Option<id::DataCentre> {
+        find(&self.data_centres, name, |item| &item.name).map(id::DataCentre)
+    }
+
+    /// Finds a database group by name.
+    pub fn group(&self, name: &str) -> Option<id::Group> {
+        find(&self.groups, name, |item| &item.name).map(id::Group)
+    }
+
+    /// Finds a member by the names of its group and its own.
+    pub fn member(&self, group: &str, name: &str) -> Option<id::Member> {
+        let members = &self[self.group(group)?].members;
+        let mut members = members.iter().copied();
+        members.find(|member| self[*member].name.as_ref() == name)
+    }
+
+    /// Finds a route by name.
+    pub fn route(&self, name: &str) -> Option<id::Route> {
+        find(&self.routes, name, |item| &item.name).map(id::Route)
+    }
+
+    /// Finds a workspace by name.
+    pub fn workspace(&self, name: &str) -> Option<id::Workspace> {
+        find(&self.workspaces, name, |item| &item.name).map(id::Workspace)
+    }
+
+    /// Tells whether a workspace lists a route.
+    pub fn allows(&self, workspace: id::Workspace, route: id::Route) -> bool {
+        self[workspace].routes.binary_search(&route).is_ok()
+    }
+
+    /// Finds the granted key that a caller presented, and returns its id.
+    ///
+    /// The presented text is compared with every granted key of the workspace in constant time.
+    pub fn find_key(&self, workspace: id::Workspace, presented: &str) -> Option<Arc<str>> {
+        let digest = Digest::of(presented);
+        let keys = &self[workspace].keys;
+        let mut found = u32::MAX;
+        for (index, key) in (0_u32..).zip(keys.iter()) {
+            let matches = u8::from(key.digest.matches(&digest)).ct_eq(&1);
+            found.conditional_assign(&index, matches);
+        }
+        keys.get(found as usize).map(|key| Arc::clone(&key.id))
+    }
+
+    /// Tells whether a key is still granted, for connections that presented it earlier.
+    pub fn is_granted(&self, workspace: id::Workspace, key: &str) -> bool {
+        self[workspace]
+            .keys
+            .iter()
+            .any(|item| item.id.as_ref() == key)
+    }
+}
+
+macro_rules! arena {
+    ($id:ident, $field:ident) => {
+        impl Index<id::$id> for Arenas {
+            type Output = $id;
+
+            fn index(&self, id: id::$id) -> &$id {
+                &self.$field[id.index()]
+            }
+        }
+    };
+}
+
+arena!(DataCentre, data_centres);
+arena!(Group, groups);
+arena!(Member, members);
+arena!(Route, routes);
+arena!(Workspace, workspaces);
+
+fn find<T, F>(items: &[T], name: &str, name_of: F) -> Option<u32>
+where
+    F: Fn(&T) -> &Arc<str>,
+{
+    let position = items.binary_search_by(|item| name_of(item).as_ref().cmp(name));
+    position.ok().map(|index| index as u32)
+}
+
+/// Turns a document without problems into arenas.
+struct Compiler<'a> {
+    document: &'a Document,
+    data_centres: BTreeMap<&'a str, id::DataCentre>,
+    groups: BTreeMap<&'a str, id::Group>,
+    routes: BTreeMap<&'a str, id::Route>,
+}
+
+impl<'a> Compiler<'a> {
+    fn new(document: &'a Document) -> Self {
+        Self {
+            document,
+            data_centres: number(document.data_centres.keys(), id::DataCentre),
+            groups: number(document.groups.keys(), id::Group),
+            routes: number(document.routes.keys(), id::Route),
+        }
+    }
+
+    fn compile(&self, version: Version) -> Arenas {
+        let members: Box<[Member]> = self.members().collect();
+        Arenas {
+            version,
+            data_centres: self.data_centres().collect(),
+            groups: self.groups(),
+            members,
+            routes: self.routes().collect(),
+            workspaces: self.workspaces().collect(),
+        }
+    }
+
+    fn data_centres(&self) -> impl Iterator<Item = DataCentre> {
+        self.document
+            .data_centres
+            .iter()
+            .map(|(name, centre)| DataCentre {
+                name: Arc::clone(name),
+                region: Arc::clone(&centre.region),
+                availability: centre.availability,
+            })
+    }
+
+    fn groups(&self) -> Box<[Group]> {
+        let mut next = 0_u32;
+        let mut groups = Vec::with_capacity(self.document.groups.len());
+        for (name, group) in &self.document.groups {
+            let names = group.members.keys();
+            let ids: Vec<_> = names
+                .zip(next..)
+                .map(|(_, index)| id::Member(index))
+                .collect();
+            let preferred = group.preferred_primary.as_ref();
+            let position = preferred.and_then(|name| group.members.keys().position(|m| m == name));
+            next += ids.len() as u32;
+            groups.push(Group {
+                name: Arc::clone(name),
+                preferred_primary: position.map(|index| ids[index]),
+                members: ids.into(),
+            });
+        }
+        groups.into()
+    }
+
+    fn members(&self) -> impl Iterator<Item = Member> {
+        self.document
+            .groups
+            .iter()
+            .flat_map(move |(group, settings)| {
+                let group = self.groups[group.as_ref()];
+                let members = settings.members.iter();
+                members.map(move |(name, member)| self.member(group, name, member))
+            })
+    }
+
+    fn member(&self, group: id::Group, name: &Arc<str>, member: &document::Member) -> Member {
+        let centre = &self.document.data_centres[&member.data_centre];
+        let both = (centre.availability, member.availability);
+        let availability = match both {
+            (Availability::In, Availability::In) => Availability::In,
+            _ => Availability::Out,
+        };
+        Member {
+            name: Arc::clone(name),
+            group,
+            data_centre: self.data_centres[member.data_centre.as_ref()],
+            address: member.address,
+            availability,
+            connections: member.connections,
+            slots: member.slots,
+        }
+    }
+
+    fn routes(&self) -> impl Iterator<Item = Route> {
+        self.document.routes.iter().map(|(name, route)| Route {
+            name: Arc::clone(name),
+            group: self.groups[route.group.as_ref()],
+            settings: route.clone(),
+        })
+    }
+
+    fn workspaces(&self) -> impl Iterator<Item = Workspace> {
+        let workspaces = self.document.workspaces.iter();
+        workspaces.map(|(name, workspace)| self.workspace(name, workspace))
+    }
+
+    fn workspace(&self, name: &Arc<str>, workspace: &document::Workspace) -> Workspace {
+        let names = workspace.routes.iter();
+        let mut routes: Vec<_> = names.map(|route| self.routes[route.as_ref()]).collect();
+        routes.sort_unstable();
+        Workspace {
+            name: Arc::clone(name),
+            rate: workspace.rate,
+            weight: workspace.weight,
+            routes: routes.into(),
+            keys: workspace.keys.iter().filter_map(granted).collect(),
+        }
+    }
+}
+
+fn granted((id, key): (&Arc<str>, &document::Key)) -> Option<Key> {
+    if key.state == Grant::Withdrawn {
+        return None;
+    }
+    let digest = key.digest.parse().ok()?;
+    let id = Arc::clone(id);
+    Some(Key { id, digest })
+}
+
+fn number<'a, I, T, F>(names: I, id: F) -> BTreeMap<&'a str, T>
+where
+    I: Iterator<Item = &'a Arc<str>>,
+    F: Fn(u32) -> T,
+{
+    names.map(AsRef::as_ref).zip((0..).map(id)).collect()
+}
