--- a/crates/protocol/src/endpoint.rs
+++ b/crates/protocol/src/endpoint.rs
@@ -20,7 +20,12 @@
 //! A row has the columns `received_term`, `received_index`, `applied_term`, `applied_index`,
 //! `fenced_term`, `role` (`primary` or `replica`) and `heard_ms` (null on a primary).
 
+use std::fmt::Debug;
+
+use async_trait::async_trait;
 use filbertbay_state::position::Term;
+use filbertbay_state::status::Status;
+use strum::Display;
 
 /// Statement that asks a member for its status.
 pub const STATUS_SQL: &str = "SELECT * FROM group_status()";
@@ -69,3 +74,52 @@
         }
     }
 }
+
+/// What went wrong with a question or an order to a member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display)]
+#[strum(serialize_all = "snake_case")]
+#[non_exhaustive]
+pub enum ErrorKind {
+    /// The member could not be reached; an order had no effect.
+    Unreachable,
+    /// No answer came; an order may have taken effect.
+    Unanswered,
+    /// The member refused; an order had no effect.
+    Refused,
+    /// The answer could not be understood; an order may have taken effect.
+    Malformed,
+}
+
+/// Failure of a question or an order to a member.
+#[derive(Debug, thiserror::Error)]
+#[error("member: {kind}: {message}")]
+pub struct Error {
+    kind: ErrorKind,
+    message: String,
+}
+
+impl Error {
+    /// Creates an error.
+    pub fn new<M>(kind: ErrorKind, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        let message = message.into();
+        Self { kind, message }
+    }
+
+    /// Returns what went wrong.
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+}
+
+/// Member of a database group on a control connection.
+#[async_trait]
+pub trait Endpoint: Send + Sync + Debug {
+    /// Asks the member for its status.
+    async fn status(&self) -> Result<Status, Error>;
+
+    /// Gives the member an order and returns its status after it.
+    async fn order(&self, order: &Order) -> Result<Status, Error>;
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,7 +4,9 @@
 //! package, decisions in the coordination package.
 //!
 //! - [`platform`] is the small key-value service that holds what must last.
+//! - [`sql`] tells where a statement may run.
 //! - [`endpoint`] is what a member of a database group answers about itself.
 
 pub mod endpoint;
 pub mod platform;
+pub mod sql;
