--- /dev/null
+++ b/crates/coordination/src/share/account.rs
@@ -0,0 +1,443 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertbay_state::document::Rate;
+
+use super::loan::{guarded, within};
+use super::{Ask, Config, Fraction, Grant, Loan, MICROS_PER_TOKEN, Return};
+
+/// Micro-tokens that an instance asks for beyond what it needs at once, as time of its demand.
+const LOOK_AHEAD: Duration = Duration::from_millis(50);
+
+/// Time over which demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+
+/// Tokens that a borrower must expect to use in one lease before it asks for refill.
+const STEADY_TOKENS: u64 = 4;
+
+/// Smallest grant of tokens that is worth a message, as a divisor of one token.
+const CRUMB_DIVISOR: u64 = 20;
+
+/// Shortest lease that is worth a message.
+const SHORTEST_LEASE: Duration = Duration::from_millis(20);
+
+/// Longest refill that is worked out at once; a bucket is full long before.
+const LONGEST_REFILL: Duration = Duration::from_hours(1);
+
+/// Share of the lease after which a loan that is still needed is renewed.
+const RENEWAL_DIVISOR: u32 = 2;
+
+/// Token bucket of one workspace on one instance, with the loans that change its size.
+#[derive(Debug)]
+pub(super) struct Account {
+    rate: Rate,
+    base: Fraction,
+    tokens: u64,
+    /// Part of a micro-token not yet counted, over `Fraction::ONE * MICROS_PER_TOKEN`.
+    remainder: u128,
+    refilled: Instant,
+    demand: Meter,
+    borrowed: Vec<Loan>,
+    lent: Vec<Loan>,
+}
+
+/// Tokens wanted per window, decaying exponentially in steps of time.
+#[derive(Clone, Copy, Debug)]
+struct Meter {
+    micros: f64,
+    at: Instant,
+}
+
+impl Meter {
+    fn add(&mut self, now: Instant, micros: u64) {
+        self.decay(now);
+        self.micros += micros as f64;
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at);
+        self.micros *= (-passed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
+        self.at = now;
+    }
+
+    /// Returns micro-tokens a second.
+    fn per_second(&mut self, now: Instant) -> u64 {
+        self.decay(now);
+        (self.micros / DEMAND_WINDOW.as_secs_f64()) as u64
+    }
+}
+
+impl Account {
+    /// Opens an account that has been filling in silence; `tokens` is what its lanes gained.
+    pub(super) fn open(now: Instant, rate: Rate, base: Fraction, tokens: u64) -> Self {
+        let demand = Meter {
+            micros: 0.0,
+            at: now,
+        };
+        let mut account = Self {
+            rate,
+            base,
+            tokens,
+            remainder: 0,
+            refilled: now,
+            demand,
+            borrowed: Vec::new(),
+            lent: Vec::new(),
+        };
+        account.clip();
+        account
+    }
+
+    /// Brings the account to `now` under the given rate and lanes.
+    pub(super) fn refresh(&mut self, now: Instant, rate: Rate, base: Fraction) {
+        if self.borrowed.is_empty() && self.lent.is_empty() {
+            self.refill(now);
+        } else {
+            self.refill_with_loans(now);
+        }
+        if self.rate != rate || self.base != base {
+            self.rate = rate;
+            self.base = base;
+            self.remainder = 0;
+        }
+        self.clip();
+    }
+
+    /// Takes tokens for a statement, and tells whether there were enough.
+    pub(super) fn take(&mut self, now: Instant, micros: u64, first: bool) -> bool {
+        if first {
+            self.demand.add(now, micros);
+        }
+        if self.tokens < micros {
+            return false;
+        }
+        self.tokens -= micros;
+        true
+    }
+
+    /// Returns the question that would bring what `micros` lacks.
+    pub(super) fn question(
+        &mut self,
+        now: Instant,
+        micros: u64,
+        config: &Config,
+    ) -> (u64, Fraction) {
+        let demand = self.demand.per_second(now);
+        let ahead = scale(demand, LOOK_AHEAD);
+        let short = micros.saturating_sub(self.tokens);
+        (short.max(ahead), self.missing_rate(demand, config))
+    }
+
+    fn missing_rate(&self, demand: u64, config: &Config) -> Fraction {
+        let own = self.refill_fraction();
+        let needed = Fraction::covering(demand, self.micros_per_second());
+        let missing = needed.minus(own);
+        let gained = scale(missing.of(self.micros_per_second()), config.lease);
+        if gained < STEADY_TOKENS * MICROS_PER_TOKEN {
+            return Fraction::ZERO;
+        }
+        missing
+    }
+
+    /// Gives up what a question may have, or tells when to ask again.
+    pub(super) fn lend(
+        &mut self,
+        now: Instant,
+        peer: &Arc<str>,
+        ask: &Ask,
+        id: u64,
+        config: &Config,
+    ) -> Result<Grant, Duration> {
+        if let Some(loan) = ask.renews {
+            return self.renew(now, peer, ask, loan, config);
+        }
+        let demand = self.demand.per_second(now);
+        let spare = self.tokens.saturating_sub(scale(demand, LOOK_AHEAD));
+        let rate = self.spare_rate(demand).min(ask.rate);
+        let mut tokens = spare.min(ask.tokens);
+        let crumb = (MICROS_PER_TOKEN / CRUMB_DIVISOR).min(ask.tokens);
+        if (tokens == 0 || tokens < crumb) && rate == Fraction::ZERO {
+            self.demand.add(now, ask.tokens.min(MICROS_PER_TOKEN));
+            return Err(self.wait_for(crumb));
+        }
+        let room = self.room_for(tokens, rate);
+        let wanted = if rate > Fraction::ZERO {
+            config.lease
+        } else {
+            config.escrow
+        };
+        let lease = self.lease(now, room, rate, wanted).ok_or(config.escrow)?;
+        // Tokens that no longer fit into the lender's bucket travel with the room that they filled.
+        let rest = self.room().minus(room).of(self.burst_micros());
+        tokens = tokens
+            .max(self.tokens.saturating_sub(rest))
+            .min(room.of(self.burst_micros()));
+        self.tokens -= tokens.min(self.tokens);
+        self.lent.push(Loan {
+            id,
+            ask: ask.id,
+            peer: Arc::clone(peer),
+            room,
+            rate,
+            expires: now + guarded(lease),
+        });
+        if rate == Fraction::ZERO {
+            self.demand.add(now, tokens);
+        }
+        Ok(grant(ask, id, tokens, room, rate, lease))
+    }
+
+    /// Returns whether a question has already been answered with a loan that still stands.
+    pub(super) fn has_answered(&self, peer: &Arc<str>, ask: u64) -> bool {
+        let answers = |loan: &Loan| loan.ask == ask && loan.peer == *peer;
+        self.lent.iter().any(answers)
+    }
+
+    fn spare_rate(&self, demand: u64) -> Fraction {
+        let kept = Fraction::covering(demand + demand / 8, self.micros_per_second());
+        self.refill_fraction().minus(kept)
+    }
+
+    fn room_for(&self, tokens: u64, rate: Fraction) -> Fraction {
+        let room = Fraction::covering(tokens, self.burst_micros()).max(rate);
+        room.min(self.room())
+    }
+
+    /// Returns the time until the account's own refill brings `micros`.
+    pub(super) fn wait_for(&self, micros: u64) -> Duration {
+        let gain = self.refill_fraction().of(self.micros_per_second()).max(1);
+        let missing = micros.saturating_sub(self.tokens);
+        Duration::from_micros(missing.saturating_mul(MICROS_PER_TOKEN) / gain)
+    }
+
+    /// Returns how much of a wanted lease the loans that back a grant allow.
+    fn lease(
+        &self,
+        now: Instant,
+        room: Fraction,
+        rate: Fraction,
+        wanted: Duration,
+    ) -> Option<Duration> {
+        let rooms: Fraction = self.lent.iter().map(|loan| loan.room).sum();
+        let rates: Fraction = self.lent.iter().map(|loan| loan.rate).sum();
+        if rooms.plus(room) <= self.base && rates.plus(rate) <= self.base {
+            return Some(wanted);
+        }
+        let backing = self.borrowed.iter().map(|loan| loan.expires).min()?;
+        let longest = within(backing.saturating_duration_since(now));
+        let lease = wanted.min(longest);
+        (lease >= SHORTEST_LEASE).then_some(lease)
+    }
+
+    fn renew(
+        &mut self,
+        now: Instant,
+        peer: &Arc<str>,
+        ask: &Ask,
+        renewed: u64,
+        config: &Config,
+    ) -> Result<Grant, Duration> {
+        let demand = self.demand.per_second(now);
+        let needed = Fraction::covering(demand + demand / 8, self.micros_per_second());
+        let in_need = needed > self.refill_fraction();
+        let lease = self.lease(now, Fraction::ZERO, Fraction::ZERO, config.lease);
+        let matches = |loan: &&mut Loan| loan.id == renewed && loan.peer == *peer;
+        let loan = self.lent.iter_mut().find(matches).ok_or(config.lease)?;
+        let lease = lease.filter(|_| !in_need).ok_or(config.lease)?;
+        loan.expires = loan.expires.max(now + guarded(lease));
+        Ok(grant(ask, renewed, 0, loan.room, loan.rate, lease))
+    }
+
+    /// Adds a loan that this instance was granted for a question that left at `asked`.
+    pub(super) fn borrow(
+        &mut self,
+        now: Instant,
+        lender: &Arc<str>,
+        grant: &Grant,
+        asked: Instant,
+    ) {
+        let expires = asked + grant.lease;
+        if expires <= now {
+            return;
+        }
+        let known = |loan: &&mut Loan| loan.id == grant.loan && loan.peer == *lender;
+        if let Some(loan) = self.borrowed.iter_mut().find(known) {
+            loan.expires = loan.expires.max(expires);
+            return;
+        }
+        self.borrowed.push(Loan {
+            id: grant.loan,
+            ask: grant.ask,
+            peer: Arc::clone(lender),
+            room: grant.room,
+            rate: grant.rate,
+            expires,
+        });
+        self.tokens = self.tokens.saturating_add(grant.tokens);
+        self.clip();
+    }
+
+    /// Ends a loan that the borrower gave back; one that has ended already gives nothing.
+    pub(super) fn recover(&mut self, borrower: &Arc<str>, back: &Return) {
+        let matches = |loan: &Loan| loan.id == back.loan && loan.peer == *borrower;
+        let Some(index) = self.lent.iter().position(matches) else {
+            return;
+        };
+        let loan = self.lent.swap_remove(index);
+        let most = loan.room.of(self.burst_micros());
+        self.tokens = self.tokens.saturating_add(back.tokens.min(most));
+        self.clip();
+    }
+
+    /// Gives back loans without refill whose room is no longer used.
+    pub(super) fn give_back(&mut self, workspace: &Arc<str>) -> Vec<(Arc<str>, Return)> {
+        let mut returns = Vec::new();
+        let mut index = 0;
+        while index < self.borrowed.len() {
+            let loan = &self.borrowed[index];
+            let left = self.room().minus(loan.room);
+            let unused = loan.rate == Fraction::ZERO && self.tokens <= left.of(self.burst_micros());
+            if !unused || self.lends_on(loan) {
+                index += 1;
+                continue;
+            }
+            let loan = self.borrowed.swap_remove(index);
+            let back = Return {
+                loan: loan.id,
+                workspace: Arc::clone(workspace),
+                tokens: 0,
+            };
+            returns.push((loan.peer, back));
+        }
+        returns
+    }
+
+    /// Returns whether loans to others rest on `loan`.
+    fn lends_on(&self, loan: &Loan) -> bool {
+        let lent: Fraction = self.lent.iter().map(|loan| loan.room).sum();
+        let borrowed: Fraction = self.borrowed.iter().map(|loan| loan.room).sum();
+        lent > self.base.plus(borrowed).minus(loan.room)
+    }
+
+    /// Returns the loans that are due for renewal and still needed.
+    pub(super) fn due(&mut self, now: Instant, config: &Config) -> Vec<Loan> {
+        let demand = self.demand.per_second(now);
+        let needed = Fraction::covering(demand, self.micros_per_second());
+        let own = self.refill_fraction();
+        let soon = now + config.lease / RENEWAL_DIVISOR;
+        let due = |loan: &&Loan| {
+            let steady = loan.rate > Fraction::ZERO;
+            steady && loan.expires <= soon && needed > own.minus(loan.rate)
+        };
+        self.borrowed.iter().filter(due).cloned().collect()
+    }
+
+    /// Returns whether dropping the account loses nothing.
+    pub(super) fn is_idle(&self) -> bool {
+        let full = self.tokens == self.room().of(self.burst_micros());
+        let quiet = self.demand.micros < MICROS_PER_TOKEN as f64 / 100.0;
+        full && quiet && self.borrowed.is_empty() && self.lent.is_empty()
+    }
+
+    /// Returns whether the bucket will run dry before another instance could have answered.
+    pub(super) fn is_low(&mut self, now: Instant) -> bool {
+        let demand = self.demand.per_second(now);
+        self.tokens < scale(demand, LOOK_AHEAD) / 2
+    }
+
+    /// Returns whether the account holds loans of others.
+    pub(super) fn has_borrowed(&self) -> bool {
+        !self.borrowed.is_empty()
+    }
+
+    /// Returns the rate that the account was last brought up to.
+    pub(super) fn rate(&self) -> Rate {
+        self.rate
+    }
+
+    /// Returns the fraction of the burst that the bucket may hold.
+    pub(super) fn room(&self) -> Fraction {
+        let borrowed: Fraction = self.borrowed.iter().map(|loan| loan.room).sum();
+        let lent: Fraction = self.lent.iter().map(|loan| loan.room).sum();
+        self.base.plus(borrowed).minus(lent)
+    }
+
+    /// Returns the fraction of the rate at which the bucket fills.
+    pub(super) fn refill_fraction(&self) -> Fraction {
+        let borrowed: Fraction = self.borrowed.iter().map(|loan| loan.rate).sum();
+        let lent: Fraction = self.lent.iter().map(|loan| loan.rate).sum();
+        self.base.plus(borrowed).minus(lent)
+    }
+
+    fn refill_with_loans(&mut self, now: Instant) {
+        while let Some(end) = self.next_end().filter(|end| *end <= now) {
+            self.refill(end);
+            self.borrowed.retain(|loan| loan.expires > end);
+            self.lent.retain(|loan| loan.expires > end);
+            self.clip();
+        }
+        self.refill(now);
+    }
+
+    fn next_end(&self) -> Option<Instant> {
+        let loans = self.borrowed.iter().chain(&self.lent);
+        loans.map(|loan| loan.expires).min()
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.refilled);
+        let micros = passed.min(LONGEST_REFILL).as_micros();
+        if micros == 0 {
+            return;
+        }
+        // Less than a microsecond stays to be counted next time.
+        self.refilled += Duration::from_micros(passed.as_micros() as u64);
+        let speed = u128::from(self.micros_per_second())
+            .saturating_mul(u128::from(self.refill_fraction().numerator()));
+        let whole = u128::from(Fraction::ONE.numerator()) * u128::from(MICROS_PER_TOKEN);
+        let gained = speed.saturating_mul(micros).saturating_add(self.remainder);
+        self.remainder = gained % whole;
+        let tokens = u64::try_from(gained / whole).unwrap_or(u64::MAX);
+        self.tokens = self.tokens.saturating_add(tokens);
+        self.clip();
+    }
+
+    fn clip(&mut self) {
+        let most = self.room().of(self.burst_micros());
+        if self.tokens >= most {
+            self.tokens = most;
+            self.remainder = 0;
+        }
+    }
+
+    fn micros_per_second(&self) -> u64 {
+        self.rate.per_second.saturating_mul(MICROS_PER_TOKEN)
+    }
+
+    fn burst_micros(&self) -> u64 {
+        self.rate.burst.saturating_mul(MICROS_PER_TOKEN)
+    }
+}
+
+fn grant(
+    ask: &Ask,
+    loan: u64,
+    tokens: u64,
+    room: Fraction,
+    rate: Fraction,
+    lease: Duration,
+) -> Grant {
+    Grant {
+        ask: ask.id,
+        loan,
+        workspace: Arc::clone(&ask.workspace),
+        tokens,
+        room,
+        rate,
+        lease,
+    }
+}
+
+fn scale(per_second: u64, time: Duration) -> u64 {
+    (u128::from(per_second) * time.as_micros() / 1_000_000) as u64
+}
--- /dev/null
+++ b/crates/coordination/src/share/ledger.rs
@@ -0,0 +1,605 @@
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertbay_state::document::Rate;
+
+use super::account::Account;
+use super::{
+    Allocation, Ask, Deny, Fraction, GROUPS, Grant, Holder, LANES, MICROS_PER_TOKEN, Message,
+    Return,
+};
+
+/// Messages that wait for the driver; with more waiting no further question is asked.
+const MAX_OUTBOX: usize = 4_096;
+
+/// Questions of one account that may be open at once.
+const MAX_PENDING: usize = LANES;
+
+/// Shortest time before a lender that refused is asked again.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest time before a lender that refused is asked again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Number of bits by which an incarnation is shifted to start the numbers of its questions.
+const INCARNATION_SHIFT: u32 = 20;
+
+/// Options of a [`Ledger`].
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use filbertbay_coordination::share::Config;
+///
+/// let config = Config::default().lease(Duration::from_secs(5));
+/// assert_eq!(config.lease, Duration::from_secs(5));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Config {
+    /// Length of a loan that carries refill.
+    pub lease: Duration,
+    /// Length of a loan that carries tokens alone.
+    pub escrow: Duration,
+    /// Longest wait for the answer to a question.
+    pub answer: Duration,
+    /// Time without proof of tenure after which an instance stops spending its lanes.
+    pub fence: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(2),
+            escrow: Duration::from_millis(250),
+            answer: Duration::from_millis(150),
+            fence: Duration::from_secs(8),
+        }
+    }
+}
+
+impl Config {
+    /// Sets the length of a loan that carries refill.
+    #[must_use]
+    pub fn lease(mut self, lease: Duration) -> Self {
+        self.lease = lease;
+        self
+    }
+
+    /// Sets the length of a loan that carries tokens alone.
+    #[must_use]
+    pub fn escrow(mut self, escrow: Duration) -> Self {
+        self.escrow = escrow;
+        self
+    }
+
+    /// Sets the longest wait for an answer.
+    #[must_use]
+    pub fn answer(mut self, answer: Duration) -> Self {
+        self.answer = answer;
+        self
+    }
+
+    /// Sets the time after which an instance without proof of tenure stops spending.
+    #[must_use]
+    pub fn fence(mut self, fence: Duration) -> Self {
+        self.fence = fence;
+        self
+    }
+}
+
+/// Decision on one statement.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// The statement may run; its tokens are spent.
+    Run,
+    /// Tokens have been asked for; [`Ledger::resume`] decides again when an answer came, at the
+    /// latest after `wait`.
+    Borrow {
+        /// Longest time until every open question is answered or given up.
+        wait: Duration,
+    },
+    /// The workspace is at its rate; the statement must not run.
+    Refused {
+        /// Time after which tokens may be there.
+        retry_after: Duration,
+    },
+}
+
+/// Message and the instance that it goes to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Envelope {
+    /// Name of the instance.
+    pub to: Arc<str>,
+    /// What it is told.
+    pub message: Message,
+}
+
+/// Buckets of all workspaces that are active on one instance.
+///
+/// Workspaces are independent of each other, so a driver may keep several ledgers and give each the
+/// workspaces of some groups, to let threads decide side by side.
+#[derive(Debug)]
+pub struct Ledger {
+    name: Arc<str>,
+    data_centre: Arc<str>,
+    incarnation: u64,
+    config: Config,
+    allocation: Arc<Allocation>,
+    counts: Vec<u8>,
+    since: BTreeMap<usize, Instant>,
+    fenced_from: Option<Instant>,
+    entries: HashMap<Arc<str>, Entry>,
+    outbox: VecDeque<Envelope>,
+    next_id: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    account: Account,
+    group: usize,
+    pending: Vec<Pending>,
+    pauses: Vec<Pause>,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    ask: u64,
+    peer: Arc<str>,
+    asked: Instant,
+    renews: bool,
+}
+
+/// Time during which a lender that refused is left alone.
+#[derive(Clone, Debug)]
+struct Pause {
+    peer: Arc<str>,
+    until: Instant,
+}
+
+impl Ledger {
+    /// Opens an empty ledger, which holds no lanes yet.
+    pub fn open<N, D>(name: N, data_centre: D, incarnation: u64, config: Config) -> Self
+    where
+        N: Into<Arc<str>>,
+        D: Into<Arc<str>>,
+    {
+        Self {
+            name: name.into(),
+            data_centre: data_centre.into(),
+            incarnation,
+            config,
+            allocation: Arc::default(),
+            counts: vec![0; GROUPS],
+            since: BTreeMap::new(),
+            fenced_from: None,
+            entries: HashMap::new(),
+            outbox: VecDeque::new(),
+            next_id: incarnation << INCARNATION_SHIFT,
+        }
+    }
+
+    /// Takes a record of holders into use, unless a newer one is.
+    ///
+    /// Buckets of lanes that are new to this instance start empty.
+    pub fn adopt(&mut self, now: Instant, allocation: Arc<Allocation>) {
+        if allocation.epoch < self.allocation.epoch {
+            return;
+        }
+        let held = |slot: &usize| {
+            let holder = allocation.holder(*slot);
+            holder.is_some_and(|holder| holder.is(&self.name, self.incarnation))
+        };
+        let slots: Vec<usize> = (0..GROUPS * LANES).filter(held).collect();
+        let since = |slot: usize| (slot, self.since.get(&slot).copied().unwrap_or(now));
+        self.since = slots.into_iter().map(since).collect();
+        self.allocation = allocation;
+        self.count_lanes();
+    }
+
+    /// Stops spending a lane that is about to pass to another instance.
+    ///
+    /// Loans that rest on the lane have ended after [`Ledger::settling`]; only then may the record
+    /// name another holder.
+    pub fn release(&mut self, slot: usize) {
+        self.since.remove(&slot);
+        self.count_lanes();
+    }
+
+    /// Returns the time after which no loan rests on a released lane any more.
+    pub fn settling(&self) -> Duration {
+        super::loan::guarded(self.config.lease.max(self.config.escrow))
+    }
+
+    /// Notes proof, as fresh as `proved`, that this instance still holds its lanes.
+    ///
+    /// Without fresh proof the lanes are not spent from [`Config::fence`] after the last one. The
+    /// limit is compared with the time of each decision, so a pause of the process is noticed by
+    /// the first decision after it.
+    pub fn extend(&mut self, proved: Instant) {
+        let until = proved + self.config.fence;
+        self.fenced_from = Some(self.fenced_from.map_or(until, |from| from.max(until)));
+    }
+
+    /// Decides whether a new statement of a workspace may run.
+    pub fn take(&mut self, now: Instant, workspace: &Arc<str>, rate: Rate, cost: u64) -> Admission {
+        self.decide(now, workspace, rate, cost, true)
+    }
+
+    /// Decides again on a statement that waited after [`Admission::Borrow`].
+    pub fn resume(
+        &mut self,
+        now: Instant,
+        workspace: &Arc<str>,
+        rate: Rate,
+        cost: u64,
+    ) -> Admission {
+        self.decide(now, workspace, rate, cost, false)
+    }
+
+    /// Handles a message of another instance, and tells whether waiting statements of the
+    /// workspace should be decided again.
+    ///
+    /// `rate` is the workspace's rate in this instance's configuration, if it has the workspace.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        from: &Arc<str>,
+        message: &Message,
+        rate: Option<Rate>,
+    ) -> bool {
+        let Some(rate) = rate else {
+            self.deny_unknown(from, message);
+            return false;
+        };
+        self.refresh(now, message.workspace(), rate);
+        match message {
+            Message::Ask(ask) => self.answer(now, from, ask),
+            Message::Grant(grant) => return self.accept(now, from, grant),
+            Message::Deny(deny) => return self.pause(now, from, deny),
+            Message::Return(back) => self.recover(from, back),
+        }
+        false
+    }
+
+    /// Renews loans that are still needed and drops the buckets of idle workspaces.
+    ///
+    /// The driver calls this a few times in each lease.
+    pub fn tick(&mut self, now: Instant) {
+        let names: Vec<Arc<str>> = self.entries.keys().cloned().collect();
+        for name in names {
+            self.maintain(now, &name);
+        }
+        self.entries.retain(|_, entry| !entry.is_idle());
+    }
+
+    /// Removes and returns the messages that the driver must send.
+    pub fn drain(&mut self) -> impl Iterator<Item = Envelope> {
+        self.outbox.drain(..)
+    }
+
+    /// Returns whether messages wait for the driver.
+    pub fn has_messages(&self) -> bool {
+        !self.outbox.is_empty()
+    }
+
+    /// Returns the number of workspaces with a bucket of their own.
+    pub fn active(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn decide(
+        &mut self,
+        now: Instant,
+        workspace: &Arc<str>,
+        rate: Rate,
+        cost: u64,
+        first: bool,
+    ) -> Admission {
+        self.refresh(now, workspace, rate);
+        let Some(entry) = self.entries.get_mut(workspace) else {
+            return Admission::Refused {
+                retry_after: LONGEST_PAUSE,
+            };
+        };
+        let micros = cost.saturating_mul(MICROS_PER_TOKEN);
+        let runs = entry.account.take(now, micros, first);
+        let low = !runs || entry.account.is_low(now);
+        if runs && entry.account.has_borrowed() {
+            self.give_back(workspace);
+        }
+        if low && cost <= rate.burst {
+            self.ask(now, workspace, micros);
+        }
+        if runs {
+            return Admission::Run;
+        }
+        self.wait_or_refuse(now, workspace, micros)
+    }
+
+    fn wait_or_refuse(&self, now: Instant, workspace: &Arc<str>, micros: u64) -> Admission {
+        let entry = &self.entries[workspace];
+        let open = entry.pending.iter().filter(|pending| !pending.renews);
+        if let Some(last) = open.map(|pending| pending.asked).max() {
+            let deadline = last + self.config.answer;
+            return Admission::Borrow {
+                wait: deadline.saturating_duration_since(now),
+            };
+        }
+        let own = entry.account.wait_for(micros);
+        let pauses = entry.pauses.iter();
+        let other = pauses
+            .map(|pause| pause.until.saturating_duration_since(now))
+            .min();
+        Admission::Refused {
+            retry_after: own.min(other.unwrap_or(own)).min(LONGEST_PAUSE),
+        }
+    }
+
+    /// Opens the account of a workspace if need be and brings it to `now`.
+    fn refresh(&mut self, now: Instant, workspace: &Arc<str>, rate: Rate) {
+        let fenced = self.fenced_from.is_none_or(|from| now >= from);
+        if let Some(entry) = self.entries.get_mut(workspace) {
+            let base = lanes(&self.counts, entry.group, fenced);
+            entry.account.refresh(now, rate, base);
+            entry.forget(now, self.config.answer);
+            return;
+        }
+        let group = Allocation::group(workspace);
+        let base = lanes(&self.counts, group, fenced);
+        let tokens = self.gained(now, group, rate);
+        let entry = Entry {
+            account: Account::open(now, rate, base, tokens),
+            group,
+            pending: Vec::new(),
+            pauses: Vec::new(),
+        };
+        self.entries.insert(Arc::clone(workspace), entry);
+    }
+
+    /// Returns what the lanes of a group have gained in silence since this instance holds them.
+    fn gained(&self, now: Instant, group: usize, rate: Rate) -> u64 {
+        let slots = self.since.range(group * LANES..(group + 1) * LANES);
+        let burst = rate.burst.saturating_mul(MICROS_PER_TOKEN);
+        let gain = |since: &Instant| {
+            let micros = now.saturating_duration_since(*since).as_micros();
+            let gained = u128::from(rate.per_second).saturating_mul(micros);
+            u64::try_from(gained).unwrap_or(u64::MAX).min(burst)
+        };
+        slots.map(|(_, since)| gain(since)).sum::<u64>() / LANES as u64
+    }
+
+    fn ask(&mut self, now: Instant, workspace: &Arc<str>, micros: u64) {
+        let Some(entry) = self.entries.get_mut(workspace) else {
+            return;
+        };
+        let (tokens, rate) = entry.account.question(now, micros, &self.config);
+        let steady = rate > Fraction::ZERO;
+        let fan_out = if steady {
+            MAX_PENDING
+        } else {
+            1 + entry.pauses.len()
+        };
+        let targets = targets(&self.allocation, entry.group, &self.name, &self.data_centre);
+        let free: Vec<Arc<str>> = targets.filter(|peer| entry.may_ask(peer)).collect();
+        let open = entry
+            .pending
+            .iter()
+            .filter(|pending| !pending.renews)
+            .count();
+        let count = fan_out.min(MAX_PENDING).saturating_sub(open);
+        for peer in free.into_iter().take(count) {
+            self.send_ask(now, workspace, peer, tokens, rate, None);
+        }
+    }
+
+    fn send_ask(
+        &mut self,
+        now: Instant,
+        workspace: &Arc<str>,
+        peer: Arc<str>,
+        tokens: u64,
+        rate: Fraction,
+        renews: Option<u64>,
+    ) {
+        if self.outbox.len() >= MAX_OUTBOX {
+            return;
+        }
+        let id = self.new_id();
+        if let Some(entry) = self.entries.get_mut(workspace) {
+            entry.pending.push(Pending {
+                ask: id,
+                peer: Arc::clone(&peer),
+                asked: now,
+                renews: renews.is_some(),
+            });
+        }
+        let ask = Ask {
+            id,
+            workspace: Arc::clone(workspace),
+            tokens,
+            rate,
+            renews,
+        };
+        self.send(peer, Message::Ask(ask));
+    }
+
+    fn answer(&mut self, now: Instant, from: &Arc<str>, ask: &Ask) {
+        let id = self.new_id();
+        let Some(entry) = self.entries.get_mut(&ask.workspace) else {
+            return;
+        };
+        // A doubled question must not be granted twice, nor refused ahead of its grant.
+        if self.outbox.len() >= MAX_OUTBOX || entry.account.has_answered(from, ask.id) {
+            return;
+        }
+        let message = match entry.account.lend(now, from, ask, id, &self.config) {
+            Ok(grant) => Message::Grant(grant),
+            Err(retry_after) => Message::Deny(deny(ask, retry_after)),
+        };
+        self.send(Arc::clone(from), message);
+    }
+
+    fn accept(&mut self, now: Instant, from: &Arc<str>, grant: &Grant) -> bool {
+        let Some(entry) = self.entries.get_mut(&grant.workspace) else {
+            return false;
+        };
+        let Some(pending) = entry.close(from, grant.ask) else {
+            return false;
+        };
+        entry.pauses.retain(|pause| pause.peer != *from);
+        entry.account.borrow(now, from, grant, pending.asked);
+        true
+    }
+
+    fn pause(&mut self, now: Instant, from: &Arc<str>, deny: &Deny) -> bool {
+        let Some(entry) = self.entries.get_mut(&deny.workspace) else {
+            return false;
+        };
+        match entry.close(from, deny.ask) {
+            Some(pending) if !pending.renews => entry.leave_alone(now, from, deny.retry_after),
+            Some(_) | None => return false,
+        }
+        true
+    }
+
+    fn recover(&mut self, from: &Arc<str>, back: &Return) {
+        if let Some(entry) = self.entries.get_mut(&back.workspace) {
+            entry.account.recover(from, back);
+        }
+    }
+
+    fn give_back(&mut self, workspace: &Arc<str>) {
+        let Some(entry) = self.entries.get_mut(workspace) else {
+            return;
+        };
+        for (peer, back) in entry.account.give_back(workspace) {
+            self.send(peer, Message::Return(back));
+        }
+    }
+
+    fn maintain(&mut self, now: Instant, workspace: &Arc<str>) {
+        let Some(entry) = self.entries.get(workspace) else {
+            return;
+        };
+        let rate = entry.account.rate();
+        self.refresh(now, workspace, rate);
+        let Some(entry) = self.entries.get_mut(workspace) else {
+            return;
+        };
+        let mut due = entry.account.due(now, &self.config);
+        due.retain(|loan| !entry.renews(&loan.peer));
+        for loan in due {
+            self.send_ask(now, workspace, loan.peer, 0, loan.rate, Some(loan.id));
+        }
+        self.give_back(workspace);
+    }
+
+    fn deny_unknown(&mut self, from: &Arc<str>, message: &Message) {
+        if let Message::Ask(ask) = message {
+            self.send(Arc::clone(from), Message::Deny(deny(ask, LONGEST_PAUSE)));
+        }
+    }
+
+    fn send(&mut self, to: Arc<str>, message: Message) {
+        if self.outbox.len() < MAX_OUTBOX {
+            self.outbox.push_back(Envelope { to, message });
+        }
+    }
+
+    fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn count_lanes(&mut self) {
+        self.counts = vec![0; GROUPS];
+        for slot in self.since.keys() {
+            self.counts[slot / LANES] += 1;
+        }
+    }
+}
+
+impl Entry {
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty() && self.pauses.is_empty() && self.account.is_idle()
+    }
+
+    fn may_ask(&self, peer: &Arc<str>) -> bool {
+        let paused = self.pauses.iter().any(|pause| pause.peer == *peer);
+        let mut open = self.pending.iter().filter(|pending| !pending.renews);
+        !paused && open.all(|pending| pending.peer != *peer)
+    }
+
+    fn renews(&self, peer: &Arc<str>) -> bool {
+        let mut open = self.pending.iter();
+        open.any(|pending| pending.renews && pending.peer == *peer)
+    }
+
+    /// Closes an open question and returns it.
+    fn close(&mut self, peer: &Arc<str>, ask: u64) -> Option<Pending> {
+        let matches = |pending: &Pending| pending.ask == ask && pending.peer == *peer;
+        let index = self.pending.iter().position(matches)?;
+        Some(self.pending.swap_remove(index))
+    }
+
+    fn leave_alone(&mut self, now: Instant, peer: &Arc<str>, asked_for: Duration) {
+        let length = asked_for.clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
+        self.pauses.retain(|pause| pause.peer != *peer);
+        self.pauses.push(Pause {
+            peer: Arc::clone(peer),
+            until: now + length,
+        });
+    }
+
+    /// Drops questions that went unanswered and pauses that are over.
+    fn forget(&mut self, now: Instant, answer: Duration) {
+        self.pauses.retain(|pause| pause.until > now);
+        let late = |pending: &Pending| pending.asked + answer <= now;
+        let lost: Vec<Pending> = self
+            .pending
+            .extract_if(.., |pending| late(pending))
+            .collect();
+        for pending in lost.iter().filter(|pending| !pending.renews) {
+            self.leave_alone(now, &pending.peer, answer);
+        }
+    }
+}
+
+fn lanes(counts: &[u8], group: usize, fenced: bool) -> Fraction {
+    if fenced {
+        return Fraction::ZERO;
+    }
+    Fraction::lanes(usize::from(counts[group]))
+}
+
+/// Returns the holders to ask, those of the own data centre first and each once.
+fn targets(
+    allocation: &Allocation,
+    group: usize,
+    name: &Arc<str>,
+    data_centre: &Arc<str>,
+) -> impl Iterator<Item = Arc<str>> {
+    let mut found: Vec<&Holder> = Vec::with_capacity(LANES);
+    for holder in allocation.holders_of(group) {
+        let known = found.iter().any(|other| other.instance == holder.instance);
+        if !known && holder.instance != *name {
+            found.push(holder);
+        }
+    }
+    found.sort_by_key(|holder| holder.data_centre != *data_centre);
+    let names: Vec<_> = found
+        .iter()
+        .map(|holder| Arc::clone(&holder.instance))
+        .collect();
+    names.into_iter()
+}
+
+fn deny(ask: &Ask, retry_after: Duration) -> Deny {
+    Deny {
+        ask: ask.id,
+        workspace: Arc::clone(&ask.workspace),
+        retry_after,
+    }
+}
