Add the control link between instances and TLS identities that follow their files

Cause: instances must probe, announce, pull the configuration and ask for member statuses, and an unauthenticated peer must get nothing. Ruled out: one task per request on a multi-thread runtime (tarpc's service futures are not known to be Send for a generic service; the control thread's local task set fits the one-control-thread rule); streaming statements over tarpc (answers are unbounded; forwarding will speak the PostgreSQL protocol instead). Change: protocol::peer (tarpc service, versioned heartbeat), transport::peer (bounded links, deadlines, reopened after failure), transport::tls (PEM identities read again when files change, mutual, ALPN).

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,7 +4,9 @@
 //! package, decisions in the coordination package.
 //!
 //! - [`platform`] is the small key-value service that holds what must last.
+//! - [`peer`] is what instances tell each other.
 //! - [`endpoint`] is what a member of a database group answers about itself.
 
 pub mod endpoint;
+pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/protocol/src/peer.rs
@@ -0,0 +1,70 @@
+//! Control messages between instances.
+//!
+//! Each call carries a deadline and is matched to its answer by a request id of the link, so that
+//! answers may come late or crossed. A message names the protocol version that its sender speaks;
+//! an instance answers a version that it does not know with nothing.
+
+use std::sync::Arc;
+
+use filbertbay_coordination::membership::Rumour;
+use filbertbay_state::status::Status;
+use serde::{Deserialize, Serialize};
+
+/// Version of the messages in this module.
+pub const PROTOCOL: u16 = 1;
+
+/// What an instance tells another one with each probe and each answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Version of the messages, see [`PROTOCOL`].
+    pub protocol: u16,
+    /// The sender itself.
+    pub from: Rumour,
+    /// Configuration version that is in force at the sender.
+    pub version: u64,
+    /// Whether the sender has lately heard from the platform.
+    pub platform: bool,
+    /// Rumours about other instances.
+    pub rumours: Vec<Rumour>,
+}
+
+/// Request to probe another instance in the sender's place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Relay {
+    /// The sender.
+    pub heartbeat: Heartbeat,
+    /// Name of the instance to probe.
+    pub to: Arc<str>,
+}
+
+pub use self::service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
+
+#[allow(
+    missing_docs,
+    reason = "the macro documents neither its requests nor its responses"
+)]
+mod service {
+    use super::{Arc, Heartbeat, Relay, Status};
+
+    /// Calls that an instance answers to other instances.
+    #[tarpc::service]
+    pub trait Peer {
+        /// Answers a probe.
+        async fn probe(heartbeat: Heartbeat) -> Option<Heartbeat>;
+
+        /// Probes another instance for the sender and returns its answer.
+        async fn relay(relay: Relay) -> Option<Heartbeat>;
+
+        /// Takes note of the configuration version of an instance.
+        async fn announce(from: Arc<str>, version: u64);
+
+        /// Returns the configuration head as stored, if its version is above the given one.
+        async fn head(above: u64) -> Option<Vec<u8>>;
+
+        /// Returns the configuration part of the given digest as stored.
+        async fn part(digest: Arc<str>) -> Option<Vec<u8>>;
+
+        /// Asks a member for its status over this instance's control connection.
+        async fn status(member: Arc<str>) -> Option<Status>;
+    }
+}
--- /dev/null
+++ b/crates/transport/tests/peer.rs
@@ -0,0 +1,204 @@
+//! Control links: authentication, crossed answers, deadlines and keys rolled without a cut.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertbay_protocol::peer::{Heartbeat, Peer, Relay};
+use filbertbay_state::status::Status;
+use filbertbay_transport::peer::{ErrorKind, Pool, Server};
+use filbertbay_transport::tls::{Files, Identity};
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use tarpc::context::Context;
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers parts after the second request has come in, so that answers cross.
+#[derive(Clone, Default)]
+struct Service {
+    second: Arc<Notify>,
+}
+
+impl Peer for Service {
+    async fn probe(self, _: Context, heartbeat: Heartbeat) -> Option<Heartbeat> {
+        Some(heartbeat)
+    }
+
+    async fn relay(self, _: Context, _: Relay) -> Option<Heartbeat> {
+        std::future::pending().await
+    }
+
+    async fn announce(self, _: Context, _: Arc<str>, _: u64) {}
+
+    async fn head(self, _: Context, above: u64) -> Option<Vec<u8>> {
+        Some(above.to_be_bytes().to_vec())
+    }
+
+    async fn part(self, _: Context, digest: Arc<str>) -> Option<Vec<u8>> {
+        match digest.as_ref() {
+            "first" => self.second.notified().await,
+            _ => self.second.notify_one(),
+        }
+        Some(digest.as_bytes().to_vec())
+    }
+
+    async fn status(self, _: Context, _: Arc<str>) -> Option<Status> {
+        None
+    }
+}
+
+struct Authority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl Authority {
+    fn new() -> Self {
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap();
+        Self { issuer }
+    }
+
+    fn write(&self, folder: &Path) -> Files {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec!["127.0.0.1".to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.issuer).unwrap();
+        let files = Files {
+            certificate: folder.join("certificate.pem"),
+            key: folder.join("key.pem"),
+            authorities: Some(folder.join("authorities.pem")),
+        };
+        std::fs::write(&files.certificate, certificate.pem()).unwrap();
+        std::fs::write(&files.key, key.serialize_pem()).unwrap();
+        std::fs::write(files.authorities.as_ref().unwrap(), self.issuer.pem()).unwrap();
+        files
+    }
+
+    fn identity(&self, folder: &Path) -> Arc<Identity> {
+        let alpn = Some(filbertbay_transport::peer::ALPN);
+        Arc::new(Identity::open(self.write(folder), alpn).unwrap())
+    }
+}
+
+async fn bind(identity: Option<Arc<Identity>>) -> Server {
+    let address = "127.0.0.1:0".parse().unwrap();
+    Server::bind(address, identity, Service::default())
+        .await
+        .unwrap()
+}
+
+async fn head(pool: &Pool, server: &Server, above: u64) -> Result<Option<Vec<u8>>, ErrorKind> {
+    pool.call(server.address(), TIMEOUT, |client, context| async move {
+        client.head(context, above).await
+    })
+    .await
+    .map_err(|error| error.kind())
+}
+
+#[tokio::test]
+async fn crossed_answers_reach_their_requests() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let server = bind(None).await;
+            let pool = Pool::new(None);
+            let part =
+                |digest: &'static str| {
+                    pool.call(server.address(), TIMEOUT, move |client, context| async move {
+                    client.part(context, digest.into()).await
+                })
+                };
+            let (first, second) = tokio::join!(part("first"), part("second"));
+            assert_eq!(first.unwrap().unwrap(), b"first");
+            assert_eq!(second.unwrap().unwrap(), b"second");
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn deadline_ends_a_call_and_leaves_the_link() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let server = bind(None).await;
+            let pool = Pool::new(None);
+            assert!(head(&pool, &server, 1).await.is_ok());
+            let stuck = pool
+                .call(
+                    server.address(),
+                    Duration::from_millis(50),
+                    |client, context| async move { client.relay(context, relay()).await },
+                )
+                .await;
+            assert_eq!(stuck.unwrap_err().kind(), ErrorKind::Unanswered);
+            assert_eq!(
+                head(&pool, &server, 2).await.unwrap().unwrap(),
+                2_u64.to_be_bytes()
+            );
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn unauthenticated_peer_gets_nothing() {
+    let (ours, theirs) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let identity = Authority::new().identity(ours.path());
+            let server = bind(Some(Arc::clone(&identity))).await;
+            let foreign = Authority::new().identity(theirs.path());
+            let same = Pool::new(Some(identity));
+            assert!(head(&same, &server, 1).await.is_ok());
+            assert!(head(&Pool::new(Some(foreign)), &server, 1).await.is_err());
+            assert!(head(&Pool::new(None), &server, 1).await.is_err());
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn rolled_keys_cut_no_link() {
+    let folder = tempfile::tempdir().unwrap();
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let authority = Authority::new();
+            let identity = authority.identity(folder.path());
+            let server = bind(Some(Arc::clone(&identity))).await;
+            let before = Pool::new(Some(Arc::clone(&identity)));
+            assert!(head(&before, &server, 1).await.is_ok());
+            authority.write(folder.path());
+            assert!(head(&before, &server, 2).await.is_ok());
+            let after = Pool::new(Some(identity));
+            assert!(head(&after, &server, 3).await.is_ok());
+        })
+        .await;
+}
+
+fn relay() -> Relay {
+    use filbertbay_coordination::membership::Rumour;
+    use filbertbay_state::instance::{Instance, Presence};
+    let address = "127.0.0.1:1".parse().unwrap();
+    let instance = Instance {
+        name: "a".into(),
+        incarnation: 1,
+        data_centre: "quimper".into(),
+        callers: address,
+        peers: address,
+        forwards: address,
+        presence: Presence::Live,
+    };
+    let heartbeat = Heartbeat {
+        protocol: filbertbay_protocol::peer::PROTOCOL,
+        from: Rumour::first(instance),
+        version: 0,
+        platform: true,
+        rumours: Vec::new(),
+    };
+    Relay {
+        heartbeat,
+        to: "b".into(),
+    }
+}
