--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,7 +5,12 @@
 //! the caller passes in. The daemon is one driver of these machines; tests are another.
 
 pub mod authority;
+pub mod membership;
+pub mod queue;
 pub mod quorum;
+pub mod rendezvous;
 pub mod replica;
 pub mod session;
+pub mod share;
+pub mod spread;
 pub mod view;
