--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,11 @@
-//! Transports of filbertbay: PostgreSQL, HTTP and peer TCP.
+//! Transports of filbertbay: sockets and TLS beneath the protocol vocabularies.
 //!
 //! - [`wire`] frames PostgreSQL messages without decoding what is only relayed.
 //! - [`endpoint`] connects to members of database groups.
+//! - [`peer`] carries control messages between instances.
+//! - [`tls`] holds identities that follow their files.
 
 pub mod endpoint;
+pub mod peer;
+pub mod tls;
 pub mod wire;
