--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod check;
 pub mod document;
 pub mod id;
+pub mod instance;
 pub mod key;
 pub mod position;
 pub mod snapshot;
