Let settings name seeds for a start during a platform outage

Cause: an instance that restarts while the platform is down knows no other instance to pull the configuration from. Ruled out: broadcast (instances talk by IP number over TCP or UDP and span data centres). Change: an optional list of control-link addresses in the settings.

--- a/crates/filbertbay/src/settings.rs
+++ b/crates/filbertbay/src/settings.rs
@@ -46,6 +46,10 @@
     pub metrics: SocketAddr,
     /// Base address of the platform's HTTP interface.
     pub platform: Arc<str>,
+    /// Addresses of other instances' control links, asked when the platform does not answer at
+    /// start-up.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub seeds: Vec<SocketAddr>,
     /// User that the daemon presents to endpoints.
     pub endpoint_user: Arc<str>,
     /// Password that the daemon presents to endpoints.
