--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,9 +4,13 @@
 //! package, decisions in the coordination package.
 //!
 //! - [`platform`] is the small key-value service that holds what must last.
+//! - [`sql`] tells where a statement may run.
 //! - [`peer`] is what instances tell each other.
 //! - [`endpoint`] is what a member of a database group answers about itself.
+//! - [`token`] carries what a session has seen to another instance.
 
 pub mod endpoint;
 pub mod peer;
 pub mod platform;
+pub mod sql;
+pub mod token;
