--- /dev/null
+++ b/crates/filbertbay/src/caller.rs
@@ -0,0 +1,174 @@
+//! Callers: PostgreSQL sessions from startup to end.
+//!
+//! A session takes messages, classifies their statements, leases an endpoint connection and relays
+//! messages in both directions. What it may do is decided by control, behind [`policy::Policy`].
+
+pub mod answer;
+pub mod cancel;
+pub mod guard;
+pub mod policy;
+pub mod relay;
+pub mod session;
+pub mod startup;
+pub mod stream;
+pub mod work;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertbay_coordination::replica;
+use filbertbay_protocol::token::Signer;
+use filbertbay_transport::tls;
+use metrics::{counter, gauge};
+use slog::{Logger, debug, warn};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{sleep, timeout};
+
+use self::answer::{Refusal, State};
+use self::guard::Phase;
+use self::policy::Policy;
+use self::startup::{Failure, STARTUP_TIMEOUT};
+use crate::pool::Pool;
+
+/// Wait after the listener has failed, such as for want of file descriptors.
+const ACCEPT_REPEAT: Duration = Duration::from_millis(100);
+
+/// Time that a refused caller has to take the reason.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What all sessions of an instance share.
+#[derive(Debug)]
+pub struct Shared {
+    /// What control decides.
+    pub policy: Arc<dyn Policy>,
+    /// Endpoint connections.
+    pub pool: Arc<Pool>,
+    /// Signer of session tokens.
+    pub signer: Signer,
+    /// How replicas are chosen.
+    pub replicas: replica::Config,
+    /// Data centre of this instance.
+    pub data_centre: Arc<str>,
+    /// Sessions by their cancel keys.
+    pub registry: Arc<cancel::Registry>,
+    /// TLS towards callers.
+    pub tls: Option<tls::Identity>,
+    /// Phase of the instance.
+    pub phase: watch::Receiver<Phase>,
+    /// Log.
+    pub log: Logger,
+}
+
+/// Listener for callers.
+#[derive(Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    places: Arc<Semaphore>,
+    max_callers: u32,
+    accepting: tokio::task::JoinHandle<()>,
+}
+
+/// Starts to accept callers.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub async fn bind(
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    max_callers: usize,
+) -> std::io::Result<Handle> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let max_callers = u32::try_from(max_callers)
+        .unwrap_or(u32::MAX)
+        .min(Semaphore::MAX_PERMITS as u32);
+    let places = Arc::new(Semaphore::new(max_callers as usize));
+    let accepting = tokio::spawn(accept(shared, listener, Arc::clone(&places)));
+    Ok(Handle {
+        address,
+        places,
+        max_callers,
+        accepting,
+    })
+}
+
+impl Handle {
+    /// Returns the address that callers connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops to accept callers; sessions go on.
+    pub fn stop(&self) {
+        self.accepting.abort();
+    }
+
+    /// Waits until every session has ended.
+    pub async fn ended(&self) {
+        let _ = self.places.acquire_many(self.max_callers).await;
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept(shared: Arc<Shared>, listener: TcpListener, places: Arc<Semaphore>) {
+    loop {
+        let (socket, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!(shared.log, "accept failed"; "error" => %error);
+                sleep(ACCEPT_REPEAT).await;
+                continue;
+            }
+        };
+        let shared = Arc::clone(&shared);
+        match Arc::clone(&places).try_acquire_owned() {
+            Ok(place) => drop(tokio::spawn(serve(shared, socket, peer, place))),
+            Err(_) => drop(tokio::spawn(turn_away(socket))),
+        }
+    }
+}
+
+async fn serve(
+    shared: Arc<Shared>,
+    socket: TcpStream,
+    peer: SocketAddr,
+    _place: OwnedSemaphorePermit,
+) {
+    gauge!("filbertbay_callers").increment(1.0);
+    match timeout(STARTUP_TIMEOUT, startup::open(&shared, socket)).await {
+        Ok(Ok(Some(session))) => session.run().await,
+        Ok(Ok(None)) => {}
+        Ok(Err(Failure::Refused(mut stream, refusal))) => {
+            let state: &'static str = refusal.state.into();
+            counter!("filbertbay_startups_refused_total", "sqlstate" => state).increment(1);
+            debug!(shared.log, "startup refused"; "peer" => %peer, "sqlstate" => state);
+            let farewell = stream.write_all(refusal.fatal().bytes().as_ref()).await;
+            let _ = (farewell, timeout(REFUSAL_TIMEOUT, stream.shutdown()).await);
+        }
+        Ok(Err(Failure::Gone)) | Err(_) => {
+            debug!(shared.log, "startup not finished"; "peer" => %peer);
+        }
+    }
+    gauge!("filbertbay_callers").decrement(1.0);
+}
+
+/// Tells a caller that the instance is full.
+async fn turn_away(mut socket: TcpStream) {
+    counter!("filbertbay_startups_refused_total", "sqlstate" => "53300").increment(1);
+    let refusal = Refusal::new(State::TooMany, "too many callers");
+    let farewell = async {
+        socket.write_all(refusal.fatal().bytes()).await?;
+        socket.shutdown().await
+    };
+    let _ = timeout(REFUSAL_TIMEOUT, farewell).await;
+}
+
--- /dev/null
+++ b/crates/filbertbay/src/caller/session/place.rs
@@ -0,0 +1,175 @@
+//! Where a session's work runs.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertbay_coordination::replica::{self, Choice, Read};
+use filbertbay_coordination::view;
+use filbertbay_state::document::Availability;
+use filbertbay_transport::wire::status;
+use tokio::time::sleep;
+
+use super::super::answer::{Refusal, State};
+use super::super::work::Work;
+use super::{Open, Session};
+use crate::pool;
+
+/// Wait before the view of a group is looked at again.
+const REPEAT: Duration = Duration::from_millis(2);
+
+/// Member on which work runs.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Group as it was seen when the member was chosen.
+    pub group: Arc<view::Group>,
+    /// Index of the member in the group.
+    pub member: usize,
+    /// Whether the member was believed to lead the group.
+    pub is_primary: bool,
+}
+
+impl Target {
+    /// Returns the name of the member.
+    pub fn name(&self) -> &str {
+        &self.group.members[self.member].name
+    }
+}
+
+/// What the search for a place follows.
+struct Search {
+    group: Arc<str>,
+    since: Instant,
+    deadline: Instant,
+    staleness: Option<Duration>,
+    avoided: Vec<usize>,
+}
+
+impl Session {
+    /// Chooses a member and leases a connection to it; nothing is sent yet.
+    pub(super) async fn place(
+        &mut self,
+        work: &Work,
+        avoided: &[usize],
+    ) -> Result<Box<Open>, Refusal> {
+        let mut search = self.search(work, avoided)?;
+        loop {
+            let view = self.view(&search)?;
+            self.consistency.observe(&view);
+            let choice = self.choose(work, &view, &search);
+            let now = Instant::now();
+            let (member, is_primary) = match choice {
+                Choice::Replica(member) => (member, false),
+                Choice::Primary(member) => (member, true),
+                Choice::Confirm(member) if self.prove(&view, member).await => (member, true),
+                Choice::Wait(_) | Choice::Confirm(_) | Choice::Nobody if now < search.deadline => {
+                    sleep(REPEAT).await;
+                    continue;
+                }
+                _ => return Err(unavailable("no member can take the work")),
+            };
+            let target = Target {
+                group: view,
+                member,
+                is_primary,
+            };
+            match self.lease(target, &search).await {
+                Ok(open) => return Ok(open),
+                Err(pool::ErrorKind::Unreachable) if !is_primary => search.avoided.push(member),
+                Err(pool::ErrorKind::Unreachable) if Instant::now() < search.deadline => {
+                    sleep(REPEAT).await;
+                }
+                Err(pool::ErrorKind::Busy) => {
+                    let message = "every connection to the endpoint was in use";
+                    return Err(Refusal::not_run(State::TooMany, message));
+                }
+                Err(_) => return Err(unavailable("the endpoint can't be reached")),
+            }
+        }
+    }
+
+    fn search(&self, work: &Work, avoided: &[usize]) -> Result<Search, Refusal> {
+        let (snapshot, place) = self
+            .guard
+            .place()
+            .ok_or_else(|| unavailable("the route was taken away"))?;
+        let route = &snapshot[place.route];
+        let now = Instant::now();
+        let default = route.settings.staleness_ms.map(Duration::from_millis);
+        Ok(Search {
+            group: Arc::clone(&snapshot[route.group].name),
+            since: now,
+            deadline: now + Duration::from_millis(route.settings.queue_ms),
+            staleness: work.staleness.or(self.staleness).or(default),
+            avoided: avoided.to_vec(),
+        })
+    }
+
+    /// Returns the view of the group without the members that have failed.
+    fn view(&self, search: &Search) -> Result<Arc<view::Group>, Refusal> {
+        let view = self.shared.policy.group(&search.group);
+        let mut view = view.ok_or_else(|| unavailable("the group is not known yet"))?;
+        if !search.avoided.is_empty() {
+            let group = Arc::make_mut(&mut view);
+            for member in &search.avoided {
+                if let Some(member) = group.members.get_mut(*member) {
+                    member.availability = Availability::Out;
+                }
+            }
+        }
+        Ok(view)
+    }
+
+    fn choose(&self, work: &Work, view: &view::Group, search: &Search) -> Choice {
+        if !work.is_read() {
+            let primary = view.primary.filter(|_| !view.is_moving);
+            return primary.map_or(Choice::Nobody, Choice::Primary);
+        }
+        let read = Read {
+            need: self.consistency.need(&view.name),
+            staleness: search.staleness,
+            since: search.since,
+        };
+        let load = self.shared.pool.load(view);
+        replica::choose(
+            &self.shared.replicas,
+            view,
+            &read,
+            Instant::now(),
+            &self.shared.data_centre,
+            &load,
+            &mut rand::rng(),
+        )
+    }
+
+    /// Proves that a member leads, and takes its position as the session's floor.
+    async fn prove(&mut self, view: &Arc<view::Group>, member: usize) -> bool {
+        let group = Arc::clone(view);
+        let target = Target {
+            group,
+            member,
+            is_primary: true,
+        };
+        self.confirm(&target).await.is_ok()
+    }
+
+    async fn lease(&self, target: Target, search: &Search) -> Result<Box<Open>, pool::ErrorKind> {
+        let taken = self
+            .shared
+            .pool
+            .take(&target.group, target.member, search.deadline)
+            .await;
+        let lease = taken.map_err(|error| error.kind())?;
+        Ok(Box::new(Open {
+            lease,
+            target,
+            status: status::IDLE,
+            changed: false,
+            is_unsynced: false,
+            is_cancelled: false,
+        }))
+    }
+}
+
+fn unavailable(reason: &str) -> Refusal {
+    Refusal::not_run(State::Unavailable, reason)
+}
--- /dev/null
+++ b/crates/filbertbay/src/caller/stream.rs
@@ -0,0 +1,59 @@
+//! Connection of a caller, in the clear or over TLS.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use filbertbay_transport::wire::Codec;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio_rustls::server::TlsStream;
+use tokio_util::codec::Framed;
+
+/// Messages of a caller.
+pub type Caller = Framed<Stream, Codec>;
+
+/// Byte stream of a caller.
+#[derive(Debug)]
+pub enum Stream {
+    /// In the clear.
+    Plain(TcpStream),
+    /// Over TLS.
+    Tls(Box<TlsStream<TcpStream>>),
+}
+
+macro_rules! delegate {
+    ($self:ident, $method:ident($($argument:expr),*)) => {
+        match $self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).$method($($argument),*),
+            Self::Tls(stream) => Pin::new(stream.as_mut()).$method($($argument),*),
+        }
+    };
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        delegate!(self, poll_read(context, buffer))
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        delegate!(self, poll_write(context, bytes))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        delegate!(self, poll_flush(context))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        delegate!(self, poll_shutdown(context))
+    }
+}
--- a/crates/transport/src/wire.rs
+++ b/crates/transport/src/wire.rs
@@ -19,7 +19,7 @@
 
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use pgwire::error::PgWireError;
 use pgwire::messages::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -27,6 +27,9 @@
 /// Bytes of a message before its body: the type and the length.
 const HEAD_BYTES: usize = 5;
 
+/// Bytes of the length, which counts itself.
+const LENGTH_BYTES: u32 = 4;
+
 /// First bytes of messages.
 pub mod kind {
     /// Authentication, from an endpoint.
@@ -116,6 +119,24 @@
         Ok(Self(buffer.freeze()))
     }
 
+    /// Creates a message from its kind and body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use filbertbay_transport::wire::{Frame, kind};
+    ///
+    /// let frame = Frame::new(kind::QUERY, b"SELECT 1\0");
+    /// assert_eq!(frame.text(0), Some("SELECT 1"));
+    /// ```
+    pub fn new(kind: u8, body: &[u8]) -> Self {
+        let mut buffer = BytesMut::with_capacity(HEAD_BYTES + body.len());
+        buffer.put_u8(kind);
+        buffer.put_u32(body.len() as u32 + LENGTH_BYTES);
+        buffer.extend_from_slice(body);
+        Self(buffer.freeze())
+    }
+
     /// Returns the first byte, which tells the kind of the message.
     pub fn kind(&self) -> u8 {
         self.0[0]
@@ -187,6 +208,11 @@
 }
 
 impl Codec {
+    /// Sets the length above which messages are refused.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.inner.set_max_frame_length(max_bytes);
+    }
+
     /// Creates a codec that refuses messages longer than `max_bytes`.
     pub fn new(max_bytes: usize) -> Self {
         let inner = LengthDelimitedCodec::builder()
