--- a/crates/protocol/src/platform.rs
+++ b/crates/protocol/src/platform.rs
@@ -5,17 +5,21 @@
 //!
 //! [`Store`] is the border: the transport package implements it over HTTP, tests over memory.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString};
+use strum::Display;
+
+pub use filbertbay_state::instance::{Instance, Presence};
 
 /// Largest value that the platform holds, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Time after which an instance leaves the list unless it announces itself again.
+pub const REGISTRATION_TTL: Duration = Duration::from_mins(1);
+
 /// Modification index of a key; zero stands for a key that does not exist.
 #[derive(
     Clone, Copy, Debug, Default, Eq, PartialEq, Ord, PartialOrd, Hash, Serialize, Deserialize,
@@ -41,37 +45,6 @@
 #[serde(transparent)]
 pub struct Lease(pub Arc<str>);
 
-/// Whether an instance takes part.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, Serialize, Deserialize, Display, EnumString)]
-#[serde(rename_all = "lowercase")]
-#[strum(serialize_all = "lowercase")]
-pub enum Presence {
-    /// Takes new work.
-    Live,
-    /// Finishes what runs.
-    Leaving,
-}
-
-/// One row of the platform's lagging list of instances.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Instance {
-    /// Name, unique in the fleet.
-    pub name: Arc<str>,
-    /// Number that grows with each start of the instance: milliseconds since 1970 at its start.
-    pub incarnation: u64,
-    /// Data centre that the instance runs in.
-    pub data_centre: Arc<str>,
-    /// Address that callers connect to.
-    pub callers: SocketAddr,
-    /// Address that other instances send control messages to.
-    pub peers: SocketAddr,
-    /// Address that other instances forward statements to.
-    pub forwards: SocketAddr,
-    /// Whether the instance takes part.
-    pub presence: Presence,
-}
-
 /// What went wrong with a call to the platform.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -145,7 +118,7 @@
     /// Takes a key for a lease if no other lease holds it, and tells whether it did.
     async fn acquire(&self, key: &str, value: Vec<u8>, lease: &Lease) -> Result<bool, Error>;
 
-    /// Announces this instance in the list of instances.
+    /// Announces this instance in the list of instances, for [`REGISTRATION_TTL`].
     async fn register(&self, instance: &Instance) -> Result<(), Error>;
 
     /// Reads the lagging list of instances.
