--- a/crates/filbertbay/src/caller.rs
+++ b/crates/filbertbay/src/caller.rs
@@ -171,4 +171,3 @@
     };
     let _ = timeout(REFUSAL_TIMEOUT, farewell).await;
 }
-
--- a/crates/filbertbay/src/caller/relay.rs
+++ b/crates/filbertbay/src/caller/relay.rs
@@ -359,18 +359,19 @@
             kind::NOTIFICATION => Ok(()),
             kind::NOTICE | kind::PARAMETER_STATUS => self.pass(frame).await,
             kind::ERROR => self.take_error(frame).await,
-            kind::READY => self.take_ready(&frame),
+            kind::READY => {
+                self.take_ready(&frame);
+                Ok(())
+            }
             // Copies are refused by their class; one that comes all the same is ended.
             kind::COPY_IN => self.refuse_copy().await,
             _ => self.take_answer(frame).await,
         }
     }
 
-    fn take_ready(&mut self, frame: &Frame) -> Result<(), Stop> {
+    fn take_ready(&mut self, frame: &Frame) {
         self.run.expected.clear();
-        let status = frame.transaction_status().unwrap_or(status::FAILED);
-        self.run.ready = Some(status);
-        Ok(())
+        self.run.ready = Some(frame.transaction_status().unwrap_or(status::FAILED));
     }
 
     async fn take_error(&mut self, frame: Frame) -> Result<(), Stop> {
--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -9,7 +9,7 @@
 
 use filbertbay_coordination::authority::confirm::Outcome;
 use filbertbay_coordination::session::Session as Consistency;
-use filbertbay_protocol::sql::{self, Class};
+use filbertbay_protocol::sql;
 use filbertbay_transport::wire::{Frame, kind, status};
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::response::TransactionStatus;
@@ -297,9 +297,8 @@
         );
         relay.hold = match open.target.is_primary {
             true if !work.is_read() || !fresh => Hold::Changes,
-            true => Hold::Nothing,
             false if fresh => Hold::Start,
-            false => Hold::Nothing,
+            _ => Hold::Nothing,
         };
         relay.in_transaction = open.status != status::IDLE;
         relay.changed = open.changed;
@@ -422,12 +421,10 @@
     async fn finish_lost(&mut self, cause: Cause, open: &Open, work: &Work) -> Result<(), Close> {
         let is_primary = open.target.is_primary;
         let was_open = open.status != status::IDLE;
-        let may_commit = match was_open {
-            true => work
-                .classes
-                .iter()
-                .any(|class| !matches!(class, Class::Read | Class::Local | Class::Write)),
-            false => !work.is_read() || open.changed || open.is_unsynced,
+        let may_commit = if was_open {
+            work.may_commit()
+        } else {
+            !work.is_read() || open.changed || open.is_unsynced
         };
         let refusal = if is_primary && may_commit {
             Refusal::new(
--- a/crates/filbertbay/src/caller/startup.rs
+++ b/crates/filbertbay/src/caller/startup.rs
@@ -85,6 +85,10 @@
 }
 
 /// Takes a caller through its startup; `None` stands for a cancel request, which is done.
+///
+/// # Errors
+///
+/// Returns an error if the caller has gone, broke the protocol or presented the wrong key.
 pub async fn open(shared: &Arc<Shared>, socket: TcpStream) -> Result<Option<Session>, Failure> {
     socket.set_nodelay(true)?;
     let mut stream = Stream::Plain(socket);
--- a/crates/filbertbay/src/caller/work.rs
+++ b/crates/filbertbay/src/caller/work.rs
@@ -102,6 +102,14 @@
         !self.classes.is_empty() && self.classes.iter().all(ends)
     }
 
+    /// Returns whether the work may commit a transaction that was open before it.
+    ///
+    /// A portal that was bound earlier may hold a commit.
+    pub fn may_commit(&self) -> bool {
+        let runs_earlier_portal = self.classes.is_empty() && self.cost > 0;
+        runs_earlier_portal || self.classes.contains(&Class::Commit)
+    }
+
     /// Returns the number of statements that count against the rate.
     pub fn charge(&self) -> u64 {
         let is_free =
--- /dev/null
+++ b/crates/filbertbay/tests/path.rs
@@ -0,0 +1,292 @@
+//! Statements through an instance to a stand-in group and back.
+
+mod common;
+
+use common::{DEADLINE, Fixture, KEY, OTHER_KEY, Options, connect, spawn, state};
+use futures::future::join_all;
+use tokio::time::timeout;
+use tokio_postgres::types::Type;
+use tokio_postgres::{Client, SimpleQueryMessage};
+
+async fn table(fixture: &Fixture) -> Client {
+    let client = fixture.connect().await;
+    let sql = "CREATE TABLE lilies (id int8 PRIMARY KEY, kind text, stock int4)";
+    client.batch_execute(sql).await.expect("the table is new");
+    client
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn simple_statements_read_and_write() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    client
+        .batch_execute("INSERT INTO lilies VALUES (1, 'white', 3)")
+        .await
+        .expect("written");
+    let rows = client
+        .simple_query("SELECT kind, stock FROM lilies")
+        .await
+        .expect("read");
+    let row = rows.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => Some((row.get(0), row.get(1))),
+        _ => None,
+    });
+    assert_eq!(row, Some((Some("white"), Some("3"))));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prepared_statements_carry_binary_values() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let types = [Type::INT8, Type::TEXT, Type::INT4];
+    let insert = client
+        .prepare_typed("INSERT INTO lilies VALUES ($1, $2, $3)", &types)
+        .await;
+    let insert = insert.expect("prepared");
+    for id in 0..20_i64 {
+        let stock = (id % 2 == 0).then_some(id as i32);
+        client
+            .execute(&insert, &[&id, &"white", &stock])
+            .await
+            .expect("written");
+    }
+    let select = "SELECT stock FROM lilies WHERE id = $1";
+    let select = client
+        .prepare_typed(select, &[Type::INT8])
+        .await
+        .expect("prepared");
+    for id in 0..20_i64 {
+        let row = client.query_one(&select, &[&id]).await.expect("read");
+        assert_eq!(
+            row.get::<_, Option<i32>>(0),
+            (id % 2 == 0).then_some(id as i32)
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_answers_come_to_their_own_statements() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let insert = client.prepare_typed("INSERT INTO lilies VALUES ($1, 'red', 0)", &[Type::INT8]);
+    let insert = insert.await.expect("prepared");
+    let ids: Vec<i64> = (0..30).collect();
+    let written = join_all(
+        ids.iter()
+            .map(|id| async { client.execute(&insert, &[id]).await }),
+    );
+    assert!(
+        written
+            .await
+            .into_iter()
+            .all(|result| result.is_ok_and(|count| count == 1))
+    );
+    let select = "SELECT id FROM lilies WHERE id = $1";
+    let select = client
+        .prepare_typed(select, &[Type::INT8])
+        .await
+        .expect("prepared");
+    let read = join_all(
+        ids.iter()
+            .map(|id| async { client.query_one(&select, &[id]).await }),
+    );
+    let read: Vec<i64> = read
+        .await
+        .into_iter()
+        .map(|row| row.expect("read").get(0))
+        .collect();
+    assert_eq!(read, ids);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_of_different_sessions_never_mix() {
+    let fixture = spawn(Options {
+        connections: 2,
+        ..Options::default()
+    })
+    .await;
+    let client = table(&fixture).await;
+    let sessions = (0..8_i64).map(|session| {
+        let fixture = &fixture;
+        async move {
+            let mut client = fixture.connect().await;
+            for round in 0..4_i64 {
+                let id = session * 100 + round;
+                let transaction = client.transaction().await.expect("begun");
+                let insert = format!("INSERT INTO lilies VALUES ({id}, 's{session}', 1)");
+                transaction.batch_execute(&insert).await.expect("written");
+                let own = format!("SELECT id FROM lilies WHERE kind = 's{session}' ORDER BY id");
+                let rows = transaction.query(&own, &[]).await.expect("read");
+                let last = rows.last().map(|row| row.get::<_, i64>(0));
+                assert_eq!(last, Some(id));
+                if round % 2 == 0 {
+                    transaction.commit().await.expect("committed");
+                } else {
+                    transaction.rollback().await.expect("rolled back");
+                }
+            }
+        }
+    });
+    timeout(DEADLINE, join_all(sessions))
+        .await
+        .expect("in time");
+    let row = client
+        .query_one("SELECT count(*) FROM lilies", &[])
+        .await
+        .expect("read");
+    assert_eq!(row.get::<_, i64>(0), 16);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_that_vanishes_leaves_no_transaction_behind() {
+    let fixture = spawn(Options {
+        connections: 1,
+        ..Options::default()
+    })
+    .await;
+    let client = table(&fixture).await;
+    for _ in 0..3 {
+        let gone = fixture.connect().await;
+        gone.batch_execute("BEGIN; INSERT INTO lilies VALUES (1, 'red', 0)")
+            .await
+            .expect("open");
+        drop(gone);
+        // The only connection is free again, and the row is not there.
+        let row = client.query_one("SELECT count(*) FROM lilies", &[]);
+        let row = timeout(DEADLINE, row)
+            .await
+            .expect("in time")
+            .expect("read");
+        assert_eq!(row.get::<_, i64>(0), 0);
+        client
+            .batch_execute("INSERT INTO lilies VALUES (1, 'red', 0)")
+            .await
+            .expect("free");
+        client
+            .batch_execute("DELETE FROM lilies")
+            .await
+            .expect("free");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_pass_unchanged_and_the_session_goes_on() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let missing = client
+        .simple_query("SELECT * FROM ponds")
+        .await
+        .expect_err("no such table");
+    assert_eq!(state(&missing), "42P01");
+    client
+        .batch_execute("INSERT INTO lilies VALUES (1, 'red', 0)")
+        .await
+        .expect("written");
+    let twice = client
+        .batch_execute("INSERT INTO lilies VALUES (1, 'red', 0)")
+        .await;
+    assert_eq!(state(&twice.expect_err("a duplicate")), "23505");
+    for text in [
+        "LISTEN orders",
+        "SET work_mem = '1GB'",
+        "COPY lilies FROM STDIN",
+    ] {
+        let refused = client.batch_execute(text).await.expect_err("refused");
+        assert_eq!(state(&refused), "0A000", "{text}");
+    }
+    client
+        .batch_execute("SET filbertbay.staleness = '1s'")
+        .await
+        .expect("taken by the proxy");
+    client.query_one("SELECT 1", &[]).await.expect("goes on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unconfirmed_write_is_never_acknowledged() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    *fixture.control.confirms.lock() = false;
+    let simple = client
+        .batch_execute("INSERT INTO lilies VALUES (1, 'red', 0)")
+        .await;
+    assert_eq!(state(&simple.expect_err("unknown")), "08007");
+    let extended = client
+        .execute("INSERT INTO lilies VALUES (2, 'red', 0)", &[])
+        .await;
+    assert_eq!(state(&extended.expect_err("unknown")), "08007");
+    client.batch_execute("BEGIN").await.expect("begun");
+    client
+        .batch_execute("INSERT INTO lilies VALUES (3, 'red', 0)")
+        .await
+        .expect("not yet");
+    let commit = client.batch_execute("COMMIT").await;
+    assert_eq!(state(&commit.expect_err("unknown")), "08007");
+    *fixture.control.confirms.lock() = true;
+    client
+        .batch_execute("INSERT INTO lilies VALUES (4, 'red', 0)")
+        .await
+        .expect("confirmed");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_over_the_rate_is_refused_truthfully() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    *fixture.control.admits.lock() = false;
+    let refused = client
+        .batch_execute("INSERT INTO lilies VALUES (1, 'red', 0)")
+        .await;
+    let refused = refused.expect_err("over the rate");
+    assert_eq!(state(&refused), "53400");
+    assert!(
+        refused
+            .as_db_error()
+            .expect("answered")
+            .message()
+            .contains("not run")
+    );
+    *fixture.control.admits.lock() = true;
+    let row = client
+        .query_one("SELECT count(*) FROM lilies", &[])
+        .await
+        .expect("read");
+    assert_eq!(row.get::<_, i64>(0), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_names_and_keys_are_answered_alike() {
+    let fixture = spawn(Options::default()).await;
+    let cases = [
+        ("shop", OTHER_KEY, "orders"),
+        ("nobody", KEY, "orders"),
+        ("shop", KEY, "nowhere"),
+        ("mill", OTHER_KEY, "orders"),
+    ];
+    for (user, key, route) in cases {
+        let mut config = fixture.config();
+        config.user(user).password(key).dbname(route);
+        let refused = connect(&config).await.expect_err("refused");
+        assert_eq!(state(&refused), "28P01", "{user} {route}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_endpoint_sees_a_key() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    client
+        .query("SELECT * FROM lilies", &[])
+        .await
+        .expect("read");
+    for member in fixture.group.members() {
+        let received = member.received();
+        let holds = |needle: &str| {
+            received
+                .windows(needle.len())
+                .any(|w| w == needle.as_bytes())
+        };
+        assert!(!holds(KEY));
+        assert!(!holds("shop"));
+    }
+    assert!(!fixture.group.primary().received().is_empty());
+}
