Let operators read and change the configuration with filbertctl

Cause: operators had no way to submit a patch, grant or withdraw a key, or read the audit trail. Ruled out: retrying a refused change against the newer version (the operator has not seen it); printing a generated key before its digest is in force (it may never be); the parser's own exit code 1 for a wrong command line (1 means that a check failed here, 2 a wrong input). The digest of a patch no longer covers the time of submission, so that a second run with the same id is told what became of the first instead of being refused as another patch.

--- /dev/null
+++ b/crates/filbertctl/src/command/audit.rs
@@ -0,0 +1,42 @@
+//! `filbertctl audit`.
+
+use bpaf::Bpaf;
+
+use crate::exit::Failure;
+use crate::operator::{self, Operator, Target, target};
+use crate::output;
+
+/// Which audit entries to list.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    #[bpaf(external)]
+    target: Target,
+    /// List only the entries of this author.
+    #[bpaf(long, argument("NAME"))]
+    author: Option<String>,
+    /// List only the entries of this patch.
+    #[bpaf(long, argument("ID"))]
+    patch: Option<String>,
+    /// List only the latest entries.
+    #[bpaf(long, argument("N"))]
+    last: Option<usize>,
+}
+
+/// Runs `filbertctl audit`.
+pub async fn run(options: Options) -> Result<(), Failure> {
+    let mut entries = Operator::open(&options.target)?.audit().await?;
+    entries.retain(|entry| matches(options.author.as_deref(), &entry.author));
+    entries.retain(|entry| matches(options.patch.as_deref(), &entry.patch));
+    entries.sort_by_key(|entry| (entry.at, entry.to));
+    let last = options.last.unwrap_or(entries.len());
+    entries.drain(..entries.len().saturating_sub(last));
+    output::print(options.target.json, &entries, |entries| {
+        let lines: Vec<_> = entries.iter().map(operator::show_entry).collect();
+        lines.join("\n")
+    })
+}
+
+fn matches(wanted: Option<&str>, text: &str) -> bool {
+    wanted.is_none_or(|wanted| wanted == text)
+}
--- /dev/null
+++ b/crates/filbertctl/src/command/key.rs
@@ -0,0 +1,171 @@
+//! `filbertctl key`.
+
+use bpaf::Bpaf;
+use filbertbay_state::document::Grant;
+use filbertbay_state::key::{self, Digest, Secret};
+use filbertbay_state::patch::Change;
+use rand::RngCore;
+use serde_json::json;
+
+use crate::exit::Failure;
+use crate::operator::{Labels, Operator, Target, expect_absent, expect_present, labels, target};
+use crate::output;
+
+/// What to do with caller keys.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub enum Options {
+    /// Generates a key, prints it once and stores its digest.
+    #[bpaf(
+        command,
+        footer("Example: filbertctl key grant shop --key-id till-3 --note 'new till'")
+    )]
+    Grant {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        /// Id of the key, unique in the workspace; generated if left out.
+        #[bpaf(long, argument("KEY"))]
+        key_id: Option<String>,
+        /// Remark that is stored with the digest.
+        #[bpaf(long, argument("TEXT"))]
+        note: Option<String>,
+        /// Workspace that the key belongs to.
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+    },
+    /// Withdraws a key, also on connections that are open.
+    #[bpaf(
+        command,
+        footer("Example: filbertctl key withdraw shop till-3 --reason 'till was stolen'")
+    )]
+    Withdraw {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        /// Workspace that the key belongs to.
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+        /// Id of the key.
+        #[bpaf(positional("KEY"))]
+        key_id: String,
+    },
+    /// Lists the keys of a workspace by id; only digests are stored.
+    #[bpaf(command)]
+    List {
+        #[bpaf(external)]
+        target: Target,
+        /// Workspace that the keys belong to.
+        #[bpaf(positional("WORKSPACE"))]
+        workspace: String,
+    },
+}
+
+/// Runs `filbertctl key`.
+pub async fn run(options: Options) -> Result<(), Failure> {
+    match options {
+        Options::Grant {
+            target,
+            labels,
+            key_id,
+            note,
+            workspace,
+        } => grant(&target, &labels, key_id, note, &workspace).await,
+        Options::Withdraw {
+            target,
+            labels,
+            workspace,
+            key_id,
+        } => withdraw(&target, &labels, &workspace, &key_id).await,
+        Options::List { target, workspace } => list(&target, &workspace).await,
+    }
+}
+
+async fn grant(
+    target: &Target,
+    labels: &Labels,
+    key_id: Option<String>,
+    note: Option<String>,
+    workspace: &str,
+) -> Result<(), Failure> {
+    let operator = Operator::open(target)?;
+    let present = operator.load().await?;
+    let found = present.document.workspaces.get(workspace);
+    expect_present(found.is_some(), "workspace", workspace)?;
+    let id = key_id.unwrap_or_else(new_key_id);
+    let known = found.is_some_and(|found| found.keys.contains_key(id.as_str()));
+    expect_absent(known, "key", &id)?;
+    let secret = key::generate(|bytes| rand::rng().fill_bytes(bytes));
+    let digest = Digest::of(secret.reveal()).to_string();
+    let entry = json!({"digest": digest, "note": note});
+    let change = json!({"workspaces": {workspace: {"keys": {&id: entry}}}});
+    let reason = format!("key grant {workspace} {id}");
+    let change = Change::Merge(change);
+    // The key is printed only once its digest is known to be in force.
+    let receipt = operator
+        .submit(labels, present.version, change, &reason)
+        .await?;
+    print_secret(target, workspace, &id, &secret, receipt.entry.to.0)
+}
+
+fn print_secret(
+    target: &Target,
+    workspace: &str,
+    id: &str,
+    secret: &Secret,
+    version: u64,
+) -> Result<(), Failure> {
+    let value = json!({
+        "workspace": workspace,
+        "id": id,
+        "key": secret.reveal(),
+        "version": version,
+    });
+    output::print(target.json, &value, |_| {
+        format!(
+            "key {id} of workspace {workspace}, granted in version {version}; it is not shown \
+             again:\n{}",
+            secret.reveal()
+        )
+    })
+}
+
+async fn withdraw(
+    target: &Target,
+    labels: &Labels,
+    workspace: &str,
+    key_id: &str,
+) -> Result<(), Failure> {
+    let operator = Operator::open(target)?;
+    let present = operator.load().await?;
+    let found = present.document.workspaces.get(workspace);
+    expect_present(found.is_some(), "workspace", workspace)?;
+    let known = found.is_some_and(|found| found.keys.contains_key(key_id));
+    expect_present(known, "key", key_id)?;
+    let entry = json!({"state": Grant::Withdrawn});
+    let change = Change::Merge(json!({"workspaces": {workspace: {"keys": {key_id: entry}}}}));
+    let reason = format!("key withdraw {workspace} {key_id}");
+    operator
+        .change(labels, present.version, change, &reason)
+        .await
+}
+
+async fn list(target: &Target, workspace: &str) -> Result<(), Failure> {
+    let mut present = Operator::open(target)?.load().await?;
+    let found = present.document.workspaces.remove(workspace);
+    expect_present(found.is_some(), "workspace", workspace)?;
+    let keys = found.unwrap_or_default().keys;
+    output::print(target.json, &keys, |keys| {
+        let lines = keys.iter().map(|(id, key)| {
+            let note = key.note.as_deref().unwrap_or_default();
+            format!("{id}\t{}\t{}\t{note}", key.state, &key.digest[..8])
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+fn new_key_id() -> String {
+    format!("k-{:08x}", rand::rng().next_u32())
+}
--- /dev/null
+++ b/crates/filbertctl/src/command/member.rs
@@ -0,0 +1,167 @@
+//! `filbertctl member`.
+
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use filbertbay_state::document::Availability;
+use filbertbay_state::patch::Change;
+use serde_json::{Value, json};
+
+use crate::exit::Failure;
+use crate::operator::{
+    Labels, Operator, Present, Target, expect_absent, expect_present, labels, target,
+};
+
+/// Member of a group.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Name {
+    /// Name of the group.
+    #[bpaf(positional("GROUP"))]
+    group: String,
+    /// Name of the member.
+    #[bpaf(positional("MEMBER"))]
+    member: String,
+}
+
+/// Settings of a member.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Settings {
+    /// Data centre that the member lies in.
+    #[bpaf(long, argument("DATA_CENTRE"))]
+    data_centre: String,
+    /// Address by IP number and port.
+    #[bpaf(long, argument("IP:PORT"))]
+    address: SocketAddr,
+    /// Connections that the member accepts in all.
+    #[bpaf(long, argument("N"))]
+    connections: u32,
+    /// Statements that the member runs at once.
+    #[bpaf(long, argument("N"))]
+    slots: u32,
+}
+
+/// What to do with members of database groups.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub enum Options {
+    /// Adds a member; the first one makes the group.
+    #[bpaf(
+        command,
+        footer(
+            "Example: filbertctl member add orders orders-4 --data-centre caen --address 10.0.3.4:5432 --connections 16 --slots 2"
+        )
+    )]
+    Add {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        #[bpaf(external)]
+        settings: Settings,
+        #[bpaf(external)]
+        name: Name,
+    },
+    /// Removes a member; take it out first.
+    #[bpaf(command)]
+    Remove {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        #[bpaf(external)]
+        name: Name,
+    },
+    /// Takes a member out: it finishes what runs and gets no new work.
+    #[bpaf(
+        command,
+        footer("Example: filbertctl member out orders orders-2 --reason 'new disks'")
+    )]
+    Out {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        #[bpaf(external)]
+        name: Name,
+    },
+    /// Lets a member take new work again.
+    #[bpaf(command)]
+    In {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        #[bpaf(external)]
+        name: Name,
+    },
+}
+
+/// Runs `filbertctl member`.
+pub async fn run(options: Options) -> Result<(), Failure> {
+    match options {
+        Options::Add {
+            target,
+            labels,
+            settings,
+            name,
+        } => {
+            let settings = json!({
+                "data_centre": settings.data_centre,
+                "address": settings.address,
+                "connections": settings.connections,
+                "slots": settings.slots,
+            });
+            change(&target, &labels, &name, settings, "add").await
+        }
+        Options::Remove {
+            target,
+            labels,
+            name,
+        } => change(&target, &labels, &name, Value::Null, "remove").await,
+        Options::Out {
+            target,
+            labels,
+            name,
+        } => {
+            let settings = json!({"availability": Availability::Out});
+            change(&target, &labels, &name, settings, "out").await
+        }
+        Options::In {
+            target,
+            labels,
+            name,
+        } => {
+            let settings = json!({"availability": Availability::In});
+            change(&target, &labels, &name, settings, "in").await
+        }
+    }
+}
+
+async fn change(
+    target: &Target,
+    labels: &Labels,
+    name: &Name,
+    settings: Value,
+    verb: &str,
+) -> Result<(), Failure> {
+    let Name { group, member } = name;
+    let operator = Operator::open(target)?;
+    let present = operator.load().await?;
+    if labels.id.is_none() {
+        let known = has_member(&present, group, member);
+        match verb {
+            "add" => expect_absent(known, "member", member)?,
+            _ => expect_present(known, "member", member)?,
+        }
+    }
+    let change = Change::Merge(json!({"groups": {group: {"members": {member: settings}}}}));
+    let reason = format!("member {verb} {group} {member}");
+    operator
+        .change(labels, present.version, change, &reason)
+        .await
+}
+
+fn has_member(present: &Present, group: &str, member: &str) -> bool {
+    let group = present.document.groups.get(group);
+    group.is_some_and(|group| group.members.contains_key(member))
+}
--- a/crates/filbertctl/src/command/mod.rs
+++ b/crates/filbertctl/src/command/mod.rs
@@ -2,7 +2,16 @@
 //!
 //! A file holds its `Options`, parsed by `bpaf`, and `run`.
 
+mod audit;
 mod config;
+mod data_centre;
+mod group;
+mod key;
+mod member;
+mod rate;
+mod route;
+mod status;
+mod workspace;
 
 use bpaf::Bpaf;
 
@@ -15,6 +24,33 @@
     /// Shows, checks and changes the configuration.
     #[bpaf(command)]
     Config(#[bpaf(external(config::options))] config::Options),
+    /// Adds, removes and lists workspaces.
+    #[bpaf(command)]
+    Workspace(#[bpaf(external(workspace::options))] workspace::Options),
+    /// Grants, withdraws and lists caller keys.
+    #[bpaf(command)]
+    Key(#[bpaf(external(key::options))] key::Options),
+    /// Sets and lists rates.
+    #[bpaf(command)]
+    Rate(#[bpaf(external(rate::options))] rate::Options),
+    /// Adds, removes and lists routes.
+    #[bpaf(command)]
+    Route(#[bpaf(external(route::options))] route::Options),
+    /// Moves primaries, removes and lists database groups.
+    #[bpaf(command)]
+    Group(#[bpaf(external(group::options))] group::Options),
+    /// Adds and removes members of groups, takes them out and in.
+    #[bpaf(command)]
+    Member(#[bpaf(external(member::options))] member::Options),
+    /// Adds and removes data centres, takes them out and in.
+    #[bpaf(command("data-centre"))]
+    DataCentre(#[bpaf(external(data_centre::options))] data_centre::Options),
+    /// Shows the version in force and the instances.
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::options))] status::Options),
+    /// Lists who changed what, when and why.
+    #[bpaf(command)]
+    Audit(#[bpaf(external(audit::options))] audit::Options),
 }
 
 /// Returns the parser of the whole command line.
@@ -27,6 +63,15 @@
     pub async fn run(self) -> Result<(), Failure> {
         match self {
             Self::Config(options) => config::run(options).await,
+            Self::Workspace(options) => workspace::run(options).await,
+            Self::Key(options) => key::run(options).await,
+            Self::Rate(options) => rate::run(options).await,
+            Self::Route(options) => route::run(options).await,
+            Self::Group(options) => group::run(options).await,
+            Self::Member(options) => member::run(options).await,
+            Self::DataCentre(options) => data_centre::run(options).await,
+            Self::Status(options) => status::run(options).await,
+            Self::Audit(options) => audit::run(options).await,
         }
     }
 }
--- /dev/null
+++ b/crates/filbertctl/src/command/route.rs
@@ -0,0 +1,155 @@
+//! `filbertctl route`.
+
+use bpaf::Bpaf;
+use filbertbay_state::document::{Access, Durability};
+use filbertbay_state::patch::Change;
+use serde_json::{Value, json};
+
+use crate::exit::Failure;
+use crate::operator::{Labels, Operator, Target, expect_absent, expect_present, labels, target};
+use crate::output;
+
+/// Settings of a route.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Settings {
+    /// Group that serves the route.
+    #[bpaf(long, argument("GROUP"))]
+    group: String,
+    /// Who may use the route: key or open.
+    #[bpaf(long, argument("ACCESS"), fallback(Access::Key), display_fallback)]
+    access: Access,
+    /// What must hold a write before it is acknowledged: majority or primary.
+    #[bpaf(
+        long,
+        argument("KIND"),
+        fallback(Durability::Majority),
+        display_fallback
+    )]
+    durability: Durability,
+    /// Writes may run more than once without harm.
+    #[bpaf(long)]
+    idempotent: bool,
+    /// Age that reads accept, in milliseconds.
+    #[bpaf(long, argument("MS"))]
+    staleness_ms: Option<u64>,
+}
+
+/// What to do with routes.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub enum Options {
+    /// Adds a route to a group.
+    #[bpaf(
+        command,
+        footer("Example: filbertctl route add stock --group stock --staleness-ms 500")
+    )]
+    Add {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        #[bpaf(external)]
+        settings: Settings,
+        /// Name of the route.
+        #[bpaf(positional("ROUTE"))]
+        name: String,
+    },
+    /// Removes a route; it is refused while a workspace lists the route.
+    #[bpaf(command)]
+    Remove {
+        #[bpaf(external)]
+        target: Target,
+        #[bpaf(external)]
+        labels: Labels,
+        /// Name of the route.
+        #[bpaf(positional("ROUTE"))]
+        name: String,
+    },
+    /// Lists routes.
+    #[bpaf(command)]
+    List(#[bpaf(external(target))] Target),
+}
+
+/// Runs `filbertctl route`.
+pub async fn run(options: Options) -> Result<(), Failure> {
+    match options {
+        Options::Add {
+            target,
+            labels,
+            settings,
+            name,
+        } => add(&target, &labels, &settings, &name).await,
+        Options::Remove {
+            target,
+            labels,
+            name,
+        } => remove(&target, &labels, &name).await,
+        Options::List(target) => list(&target).await,
+    }
+}
+
+async fn add(
+    target: &Target,
+    labels: &Labels,
+    settings: &Settings,
+    name: &str,
+) -> Result<(), Failure> {
+    let operator = Operator::open(target)?;
+    let present = operator.load().await?;
+    if labels.id.is_none() {
+        let known = present.document.routes.contains_key(name);
+        expect_absent(known, "route", name)?;
+    }
+    let change = Change::Merge(json!({"routes": {name: settings.to_value()}}));
+    operator
+        .change(
+            labels,
+            present.version,
+            change,
+            &format!("route add {name}"),
+        )
+        .await
+}
+
+impl Settings {
+    fn to_value(&self) -> Value {
+        json!({
+            "group": self.group,
+            "access": self.access,
+            "durability": self.durability,
+            "idempotent": self.idempotent,
+            "staleness_ms": self.staleness_ms,
+        })
+    }
+}
+
+async fn remove(target: &Target, labels: &Labels, name: &str) -> Result<(), Failure> {
+    let operator = Operator::open(target)?;
+    let present = operator.load().await?;
+    if labels.id.is_none() {
+        let known = present.document.routes.contains_key(name);
+        expect_present(known, "route", name)?;
+    }
+    let change = Change::Merge(json!({"routes": {name: null}}));
+    operator
+        .change(
+            labels,
+            present.version,
+            change,
+            &format!("route remove {name}"),
+        )
+        .await
+}
+
+async fn list(target: &Target) -> Result<(), Failure> {
+    let present = Operator::open(target)?.load().await?;
+    output::print(target.json, &present.document.routes, |routes| {
+        let lines = routes.iter().map(|(name, route)| {
+            let staleness = route.staleness_ms.map(|ms| format!("\tstaleness {ms} ms"));
+            let staleness = staleness.unwrap_or_default();
+            let (group, access, durability) = (&route.group, route.access, route.durability);
+            format!("{name}\tgroup {group}\taccess {access}\tdurability {durability}{staleness}")
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
--- /dev/null
+++ b/crates/filbertctl/src/command/status.rs
@@ -0,0 +1,38 @@
+//! `filbertctl status`.
+
+use bpaf::Bpaf;
+use serde_json::json;
+
+use crate::exit::{Code, Failure};
+use crate::operator::{Operator, Target, target};
+use crate::output;
+
+/// Shows the version in force and the instances that the platform lists.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    #[bpaf(external)]
+    target: Target,
+}
+
+/// Runs `filbertctl status`.
+pub async fn run(options: Options) -> Result<(), Failure> {
+    let operator = Operator::open(&options.target)?;
+    let present = operator.load().await?;
+    let instances = operator.store().instances().await;
+    let instances =
+        instances.map_err(|error| Failure::new(Code::Unreachable, error.to_string()))?;
+    let value = json!({"version": present.version, "instances": instances});
+    output::print(operator.json(), &value, |_| {
+        let heading = format!("version {}, {} instances", present.version, instances.len());
+        let lines = instances.iter().map(|instance| {
+            let (name, centre) = (&instance.name, &instance.data_centre);
+            format!(
+                "{name}\t{centre}\t{}\t{}",
+                instance.callers, instance.presence
+            )
+        });
+        let lines = std::iter::once(heading).chain(lines);
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
--- a/crates/filbertctl/src/main.rs
+++ b/crates/filbertctl/src/main.rs
@@ -4,15 +4,36 @@
 
 mod command;
 mod exit;
+mod locate;
+mod operator;
 mod output;
 
 use std::process::ExitCode;
 
+use bpaf::ParseFailure;
+
+use crate::exit::Code;
+
+/// Columns that help and errors of the command line are wrapped at.
+const WIDTH: usize = 100;
+
 #[tokio::main]
 async fn main() -> ExitCode {
-    let command = command::options().run();
+    let command = match command::options().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return explain(&failure),
+    };
     match command.run().await {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => failure.report(),
     }
 }
+
+/// Prints the help that was asked for, or what is wrong with the command line.
+fn explain(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => ExitCode::from(Code::Input as u8),
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+    }
+}
--- /dev/null
+++ b/crates/filbertctl/src/operator.rs
@@ -0,0 +1,231 @@
+//! What all commands on the configuration share: the platform, the patch's labels, the outcome.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bpaf::Bpaf;
+use filbertbay_protocol::platform::Store;
+use filbertbay_protocol::repository::{Error, ErrorKind, Receipt, Repository};
+use filbertbay_state::audit;
+use filbertbay_state::document::Document;
+use filbertbay_state::patch::{Change, Patch};
+use filbertbay_state::version::Version;
+use filbertbay_transport::platform::Client;
+use rand::RngCore;
+
+use crate::exit::{Code, Failure};
+use crate::output;
+
+/// Address of the platform where none is given.
+const DEFAULT_PLATFORM: &str = "http://127.0.0.1:8500";
+
+/// Where the platform is, and how to print.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(target))]
+pub struct Target {
+    /// Base address of the platform.
+    #[bpaf(
+        long,
+        env("FILBERTBAY_PLATFORM"),
+        argument("URL"),
+        fallback(DEFAULT_PLATFORM.to_owned()),
+        display_fallback
+    )]
+    pub platform: String,
+    /// Print JSON.
+    #[bpaf(long)]
+    pub json: bool,
+}
+
+/// Labels of a patch.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(labels))]
+pub struct Labels {
+    /// Version that the change applies to; the present one if left out.
+    #[bpaf(long, argument("VERSION"))]
+    pub against: Option<u64>,
+    /// Who changes the configuration.
+    #[bpaf(long, env("USER"), argument("NAME"), fallback("operator".to_owned()))]
+    pub author: String,
+    /// Why the configuration is changed.
+    #[bpaf(long, argument("TEXT"))]
+    pub reason: Option<String>,
+    /// Id of the patch; give the id of an earlier run to learn what became of it.
+    #[bpaf(long, argument("ID"))]
+    pub id: Option<String>,
+}
+
+/// Operator's view of the configuration.
+#[derive(Debug)]
+pub struct Operator {
+    repository: Repository,
+    store: Arc<dyn Store>,
+    json: bool,
+}
+
+/// Configuration of one version.
+#[derive(Debug)]
+pub struct Present {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Configuration document.
+    pub document: Document,
+}
+
+impl Operator {
+    /// Opens the configuration of a platform; no call is made.
+    pub fn open(target: &Target) -> Result<Self, Failure> {
+        let client = Client::open(&target.platform);
+        let client = client.map_err(|error| Failure::new(Code::Input, error.to_string()))?;
+        let store: Arc<dyn Store> = Arc::new(client);
+        Ok(Self {
+            repository: Repository::open(Arc::clone(&store)),
+            store,
+            json: target.json,
+        })
+    }
+
+    /// Returns the platform.
+    pub fn store(&self) -> &dyn Store {
+        &*self.store
+    }
+
+    /// Tells whether results are printed as JSON.
+    pub fn json(&self) -> bool {
+        self.json
+    }
+
+    /// Loads the present configuration.
+    pub async fn load(&self) -> Result<Present, Failure> {
+        let bundle = self.repository.load().await.map_err(into_failure)?;
+        let document = bundle.document();
+        let document =
+            document.map_err(|error| Failure::new(Code::Malformed, error.to_string()))?;
+        let version = bundle.version();
+        Ok(Present { version, document })
+    }
+
+    /// Reads the audit trail.
+    pub async fn audit(&self) -> Result<Vec<audit::Entry>, Failure> {
+        self.repository.audit().await.map_err(into_failure)
+    }
+
+    /// Submits a change against the version that the labels name, else against `present`.
+    pub async fn submit(
+        &self,
+        labels: &Labels,
+        present: Version,
+        change: Change,
+        reason: &str,
+    ) -> Result<Receipt, Failure> {
+        let id = labels.id.clone().unwrap_or_else(new_id);
+        let patch = Patch {
+            id: id.as_str().into(),
+            against: labels.against.map_or(present, Version),
+            author: labels.author.as_str().into(),
+            reason: labels.reason.as_deref().unwrap_or(reason).into(),
+            at: unix_ms(),
+            change,
+        };
+        match self.repository.submit(&patch).await {
+            Err(error) if error.kind() == ErrorKind::Unknown => Err(unknown(&patch, &error)),
+            result => result.map_err(into_failure),
+        }
+    }
+
+    /// Submits a change and prints its receipt.
+    pub async fn change(
+        &self,
+        labels: &Labels,
+        present: Version,
+        change: Change,
+        reason: &str,
+    ) -> Result<(), Failure> {
+        let receipt = self.submit(labels, present, change, reason).await?;
+        output::print(self.json, &receipt, show_receipt)
+    }
+}
+
+/// Returns an input failure for a name that should not be there yet.
+pub fn expect_absent(present: bool, kind: &str, name: &str) -> Result<(), Failure> {
+    if present {
+        return Err(Failure::new(
+            Code::Input,
+            format!("there is a {kind} {name} already"),
+        ));
+    }
+    Ok(())
+}
+
+/// Returns an input failure for a name that is not there.
+pub fn expect_present(present: bool, kind: &str, name: &str) -> Result<(), Failure> {
+    if present {
+        return Ok(());
+    }
+    Err(Failure::new(
+        Code::Input,
+        format!("there is no {kind} {name}"),
+    ))
+}
+
+/// Returns one audit entry as text.
+pub fn show_entry(entry: &audit::Entry) -> String {
+    let mut text = format!(
+        "{} {} -> {} by {} ({}), patch {}",
+        entry.outcome, entry.from, entry.to, entry.author, entry.reason, entry.patch
+    );
+    if let Some(refusal) = &entry.refusal {
+        let _ = write!(text, "\n  {refusal}");
+    }
+    for change in &entry.changes {
+        let _ = write!(text, "\n  {}", show_change(change));
+    }
+    if entry.omitted > 0 {
+        let _ = write!(text, "\n  and {} more", entry.omitted);
+    }
+    text
+}
+
+/// Returns one change as text.
+pub fn show_change(change: &audit::Change) -> String {
+    match (&change.before, &change.after) {
+        (Some(before), Some(after)) => format!("{}: {before} -> {after}", change.pointer),
+        (Some(before), None) => format!("{}: {before} removed", change.pointer),
+        (None, Some(after)) => format!("{}: {after} added", change.pointer),
+        (None, None) => change.pointer.to_string(),
+    }
+}
+
+fn show_receipt(receipt: &Receipt) -> String {
+    let resolved = if receipt.resolved { "had been " } else { "" };
+    format!("{resolved}{}", show_entry(&receipt.entry))
+}
+
+fn into_failure(error: Error) -> Failure {
+    let code = match error.kind() {
+        ErrorKind::Refused => Code::Refused,
+        ErrorKind::Unknown => Code::Unknown,
+        ErrorKind::TooLarge | ErrorKind::Rejected => Code::Input,
+        ErrorKind::Malformed | ErrorKind::Incomplete => Code::Malformed,
+        _ => Code::Unreachable,
+    };
+    Failure::new(code, error)
+}
+
+fn unknown(patch: &Patch, error: &Error) -> Failure {
+    let hint = format!(
+        "{error}\nrun the same command with --id {} --against {} to learn what became of it",
+        patch.id, patch.against
+    );
+    Failure::new(Code::Unknown, hint)
+}
+
+fn new_id() -> String {
+    format!("p-{:016x}", rand::rng().next_u64())
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/filbertctl/tests/operator.rs
@@ -0,0 +1,268 @@
+//! The operators' tool as a process, against the stand-in platform.
+
+use std::process::{Command, Output};
+
+use filbertbay_state::key;
+use serde_json::{Value, json};
+use standin::platform::{Fault, Platform};
+
+/// Exit codes that `--help` lists.
+const INPUT: i32 = 2;
+const REFUSED: i32 = 3;
+const UNREACHABLE: i32 = 4;
+
+struct Fleet {
+    platform: Platform,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let any = "127.0.0.1:0".parse().unwrap();
+        let platform = Platform::bind(any, any).await.unwrap();
+        Self { platform }
+    }
+
+    /// Runs filbertctl on a thread of its own, while the platform answers.
+    async fn run(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_filbertctl"));
+        command
+            .args(arguments)
+            .env("FILBERTBAY_PLATFORM", self.platform.url());
+        command.env("USER", "yann");
+        let run = move || command.output().unwrap();
+        tokio::task::spawn_blocking(run).await.unwrap()
+    }
+
+    async fn json(&self, arguments: &[&str]) -> Value {
+        let arguments = [arguments, &["--json"]].concat();
+        let output = self.run(&arguments).await;
+        assert!(output.status.success(), "{arguments:?}: {output:?}");
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    async fn fails(&self, arguments: &[&str], code: i32) -> String {
+        let output = self.run(arguments).await;
+        assert_eq!(
+            output.status.code(),
+            Some(code),
+            "{arguments:?}: {output:?}"
+        );
+        String::from_utf8(output.stderr).unwrap()
+    }
+
+    /// Sets up one data centre, group, route and workspace; the version is then four.
+    async fn set_up(&self) {
+        let member = [
+            "member",
+            "add",
+            "orders",
+            "orders-1",
+            "--data-centre",
+            "caen",
+            "--address",
+            "127.0.0.1:5432",
+            "--connections",
+            "16",
+            "--slots",
+            "2",
+        ];
+        let workspace = [
+            "workspace",
+            "add",
+            "shop",
+            "--per-second",
+            "50",
+            "--burst",
+            "20",
+            "--route",
+            "orders",
+        ];
+        self.json(&["data-centre", "add", "caen", "--region", "normandie"])
+            .await;
+        self.json(&member).await;
+        self.json(&["route", "add", "orders", "--group", "orders"])
+            .await;
+        self.json(&workspace).await;
+    }
+}
+
+fn file(name: &str, text: &str) -> (tempfile::TempDir, String) {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join(name);
+    std::fs::write(&path, text).unwrap();
+    (directory, path.to_str().unwrap().to_owned())
+}
+
+#[tokio::test]
+async fn a_key_is_shown_once_and_stored_nowhere() {
+    let fleet = Fleet::start().await;
+    fleet.set_up().await;
+    let granted = fleet
+        .json(&[
+            "key", "grant", "shop", "--key-id", "till", "--note", "till 3",
+        ])
+        .await;
+    let secret = granted["key"].as_str().unwrap();
+    let digest = key::Digest::of(secret).to_string();
+    assert_eq!(granted["version"], 5);
+    let listed = fleet.json(&["key", "list", "shop"]).await;
+    assert_eq!(
+        listed["till"],
+        json!({"digest": digest, "state": "granted", "note": "till 3"})
+    );
+
+    let reason = format!("the key {secret} was stolen");
+    let exposed = ["key", "withdraw", "shop", "till", "--reason", &reason];
+    let message = fleet.fails(&exposed, REFUSED).await;
+    let withdrawn = fleet.json(&["key", "withdraw", "shop", "till"]).await;
+    assert_eq!(withdrawn["entry"]["to"], 6);
+    let shown = [
+        fleet.json(&["config", "show"]).await,
+        fleet.json(&["config", "history"]).await,
+        fleet.json(&["audit"]).await,
+    ];
+    assert_eq!(
+        shown[0]["document"]["workspaces"]["shop"]["keys"]["till"]["state"],
+        "withdrawn"
+    );
+    let texts = shown.iter().map(ToString::to_string).chain([message]);
+    for text in texts {
+        assert!(!text.contains(key::PREFIX), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_patch_against_another_version_is_refused_with_the_present_one() {
+    let fleet = Fleet::start().await;
+    fleet.set_up().await;
+    let (_directory, path) = file("rate.json", r#"{"workspaces": {"shop": {"weight": 3}}}"#);
+    let patch = ["config", "patch", "--reason", "heavier", &path];
+    let stale = [&patch[..], &["--against", "3"]].concat();
+    let message = fleet.fails(&stale, REFUSED).await;
+    assert!(message.contains("the present one is 4"), "{message}");
+    fleet.fails(&patch, INPUT).await;
+    let present = [&patch[..], &["--against", "4", "--id", "p-1"]].concat();
+    let receipt = fleet.json(&present).await;
+    assert_eq!(receipt["entry"]["to"], 5);
+    assert_eq!(receipt["resolved"], false);
+    let again = fleet.json(&present).await;
+    assert_eq!(again["resolved"], true);
+
+    let audit = fleet.json(&["audit"]).await;
+    let refused = audit
+        .as_array()
+        .unwrap()
+        .iter()
+        .find(|entry| entry["outcome"] == "refused");
+    assert_eq!(refused.unwrap()["author"], "yann");
+    assert_eq!(refused.unwrap()["reason"], "heavier");
+    let applied = fleet.json(&["audit", "--patch", "p-1"]).await;
+    let change = json!({"pointer": "/workspaces/shop/weight", "before": "1", "after": "3"});
+    assert_eq!(applied[0]["changes"], json!([change]));
+}
+
+#[tokio::test]
+async fn unknown_fields_and_unsound_results_are_refused() {
+    let fleet = Fleet::start().await;
+    fleet.set_up().await;
+    let cases = [
+        (
+            r#"{"workspaces": {"shop": {"wieght": 3}}}"#,
+            "workspaces.shop",
+        ),
+        (
+            r#"{"routes": {"orders": null}}"#,
+            "/workspaces/shop/routes/0",
+        ),
+        (
+            r#"[{"op": "remove", "path": "/routes/none"}]"#,
+            "/routes/none",
+        ),
+    ];
+    for (text, expected) in cases {
+        let (_directory, path) = file("patch.json", text);
+        let patch = ["config", "patch", "--against", "4", "--reason", "r", &path];
+        let message = fleet.fails(&patch, REFUSED).await;
+        assert!(message.contains(expected), "{message}");
+    }
+    assert_eq!(fleet.json(&["status"]).await["version"], 4);
+    assert_eq!(fleet.json(&["audit"]).await.as_array().unwrap().len(), 7);
+}
+
+#[tokio::test]
+async fn check_points_into_the_text() {
+    let fleet = Fleet::start().await;
+    let (_directory, path) = file(
+        "bad.json",
+        "{\n \"routes\": {\"orders\": {\"group\": \"order\"}}\n}",
+    );
+    let message = fleet.fails(&["config", "check", &path], INPUT).await;
+    assert!(message.contains("bad.json:2:"), "{message}");
+    assert!(
+        message.contains("the name of a group of this document"),
+        "{message}"
+    );
+    let (_directory, path) = file("worse.json", "{\n \"routes\": {\"orders\": 1}\n}");
+    let message = fleet.fails(&["config", "check", &path], INPUT).await;
+    assert!(message.contains("worse.json:2:"), "{message}");
+    fleet
+        .fails(&["config", "check", "missing.json"], INPUT)
+        .await;
+}
+
+#[tokio::test]
+async fn a_data_centre_and_a_member_go_out_and_in_again() {
+    let fleet = Fleet::start().await;
+    fleet.set_up().await;
+    fleet.json(&["data-centre", "out", "caen"]).await;
+    fleet.json(&["member", "out", "orders", "orders-1"]).await;
+    let document = &fleet.json(&["config", "show"]).await["document"];
+    assert_eq!(document["data_centres"]["caen"]["availability"], "out");
+    let member = &document["groups"]["orders"]["members"]["orders-1"];
+    assert_eq!(member["availability"], "out");
+    fleet.json(&["data-centre", "in", "caen"]).await;
+    fleet.json(&["member", "in", "orders", "orders-1"]).await;
+    fleet.json(&["group", "prefer", "orders", "orders-1"]).await;
+    fleet.json(&["rate", "set", "shop", "--burst", "40"]).await;
+    let groups = fleet.json(&["group", "list"]).await;
+    assert_eq!(groups["orders"]["preferred_primary"], "orders-1");
+    let rates = fleet.json(&["rate", "list"]).await;
+    assert_eq!(rates["shop"], json!({"per_second": 50, "burst": 40}));
+    fleet.fails(&["data-centre", "out", "nowhere"], INPUT).await;
+    fleet.fails(&["data-centre", "out"], INPUT).await;
+    let help = fleet.run(&["data-centre", "out", "--help"]).await;
+    assert!(
+        String::from_utf8(help.stdout)
+            .unwrap()
+            .contains("Example: filbertctl")
+    );
+    fleet
+        .fails(&["data-centre", "remove", "caen"], REFUSED)
+        .await;
+}
+
+#[tokio::test]
+async fn lost_answers_are_resolved_and_an_outage_changes_nothing() {
+    let fleet = Fleet::start().await;
+    let add = ["data-centre", "add", "caen", "--region", "normandie"];
+    let lose_one = Fault {
+        lose_answers: Some(1),
+        ..Fault::default()
+    };
+    // The first changing call writes a part; without its answer the head is not swapped.
+    fleet.platform.apply(&lose_one);
+    fleet.fails(&add, UNREACHABLE).await;
+    assert_eq!(fleet.json(&["status"]).await["version"], 0);
+    fleet.json(&add).await;
+    // A removal leaves no part to write, so that its first changing call swaps the head.
+    fleet.platform.apply(&lose_one);
+    let receipt = fleet.json(&["data-centre", "remove", "caen"]).await;
+    assert_eq!(receipt["resolved"], true);
+    assert_eq!(fleet.json(&["status"]).await["version"], 2);
+    fleet.platform.apply(&Fault {
+        down: Some(true),
+        ..Fault::default()
+    });
+    fleet.fails(&add, UNREACHABLE).await;
+    fleet.fails(&["config", "show"], UNREACHABLE).await;
+}
--- a/crates/state/src/patch.rs
+++ b/crates/state/src/patch.rs
@@ -190,8 +190,17 @@
     }
 
     /// Returns the digest by which a patch is told from another of the same id.
+    ///
+    /// The time of submission does not count, so that the same patch may be submitted again.
     pub fn digest(&self) -> Arc<str> {
-        let text = serde_json::to_vec(self).unwrap_or_default();
+        let content = (
+            &self.id,
+            self.against,
+            &self.author,
+            &self.reason,
+            &self.change,
+        );
+        let text = serde_json::to_vec(&content).unwrap_or_default();
         hex::encode(Sha256::digest(text)).into()
     }
 
