Add the control thread: membership, spread of the configuration, control links

Cause: the deciders of membership and spread had no driver; a daemon needs one thread that owns shared state. Ruled out: calls inside actor handlers (a slow peer would hold the mailbox up; calls run in tasks and come back as messages); every instance following the platform (only watchers do, and whoever has nothing yet). Change: control::{Control, configuration, membership, roster, service} as xtra actors on a current-thread runtime; published::Published, which traffic reads with one load.

--- /dev/null
+++ b/crates/filbertbay/src/control/membership.rs
@@ -0,0 +1,299 @@
+//! Actor that drives the membership table.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertbay_coordination::membership::{Action, Config, Event, Table};
+use filbertbay_protocol::peer::{Heartbeat, PROTOCOL, Relay};
+use filbertbay_state::instance::Instance;
+use filbertbay_transport::peer::Pool;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use xtra::WeakAddress;
+use xtra::prelude::*;
+
+use super::configuration;
+use crate::published::Published;
+
+/// Longest wait for the answer of a probe, its relays included.
+const PROBE_DEADLINE: Duration = Duration::from_secs(1);
+
+/// Time between two looks at the table's deadlines.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Actor that probes other instances and answers their probes.
+#[derive(Debug)]
+pub struct Membership {
+    table: Table,
+    rng: StdRng,
+    pool: Arc<Pool>,
+    published: Arc<Published>,
+    configuration: Address<configuration::Configuration>,
+    changes: u64,
+    platform_heard: Option<Instant>,
+}
+
+/// Time after which an instance no longer counts as hearing the platform.
+const PLATFORM_HEARD: Duration = Duration::from_secs(10);
+
+impl Membership {
+    /// Spawns the actor with a table that holds this instance alone.
+    pub fn spawn(
+        pool: Arc<Pool>,
+        published: Arc<Published>,
+        configuration: Address<configuration::Configuration>,
+    ) -> Address<Self> {
+        let own = published.own().clone();
+        let actor = Self {
+            table: Table::open(Instant::now(), own, Config::default()),
+            rng: StdRng::from_os_rng(),
+            pool,
+            published,
+            configuration,
+            changes: 0,
+            platform_heard: None,
+        };
+        let address = xtra::spawn_tokio(actor, Mailbox::bounded(super::MAILBOX));
+        tokio::spawn(tick(address.downgrade()));
+        address
+    }
+
+    fn heartbeat(&mut self, to: &str) -> Heartbeat {
+        Heartbeat {
+            protocol: PROTOCOL,
+            from: self.table.own().clone(),
+            version: self.published.snapshot().version().0,
+            platform: self
+                .platform_heard
+                .is_some_and(|heard| heard.elapsed() < PLATFORM_HEARD),
+            rumours: self.table.rumours(to),
+        }
+    }
+
+    fn act(&mut self, address: &WeakAddress<Self>, action: Action) {
+        match action {
+            Action::Probe { to, probe } => {
+                let heartbeat = self.heartbeat(&to.name);
+                tokio::spawn(send_probe(
+                    Arc::clone(&self.pool),
+                    address.clone(),
+                    to.peers,
+                    probe,
+                    heartbeat,
+                ));
+            }
+            Action::Relay { via, to, probe } => {
+                let relay = Relay {
+                    heartbeat: self.heartbeat(&to.name),
+                    to: to.name,
+                };
+                tokio::spawn(send_relay(
+                    Arc::clone(&self.pool),
+                    address.clone(),
+                    via,
+                    probe,
+                    relay,
+                ));
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        if self.changes == self.table.changes() {
+            return;
+        }
+        self.changes = self.table.changes();
+        let instances: Vec<Instance> = self.table.live().cloned().collect();
+        metrics::gauge!("filbertbay_instances_live").set(instances.len() as f64);
+        self.published.set_instances(instances);
+    }
+
+    /// Passes the version that another instance has on to the configuration actor.
+    async fn hear_version(&self, heartbeat: &Heartbeat) {
+        let heard = configuration::Heard {
+            from: heartbeat.from.instance.clone(),
+            version: heartbeat.version,
+        };
+        // Probes repeat the version, so a full mailbox may drop this one.
+        let _ = self.configuration.send(heard).detach().await;
+    }
+}
+
+async fn tick(address: WeakAddress<Membership>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        if address.send(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send_probe(
+    pool: Arc<Pool>,
+    address: WeakAddress<Membership>,
+    to: SocketAddr,
+    probe: u64,
+    heartbeat: Heartbeat,
+) {
+    let answer = pool
+        .call(to, PROBE_DEADLINE, |client, context| async move {
+            client.probe(context, heartbeat).await
+        })
+        .await;
+    if let Ok(Some(heartbeat)) = answer {
+        let _ = address.send(Answered { probe, heartbeat }).await;
+    }
+}
+
+async fn send_relay(
+    pool: Arc<Pool>,
+    address: WeakAddress<Membership>,
+    via: Instance,
+    probe: u64,
+    relay: Relay,
+) {
+    let answer = pool
+        .call(via.peers, PROBE_DEADLINE, |client, context| async move {
+            client.relay(context, relay).await
+        })
+        .await;
+    if let Ok(Some(heartbeat)) = answer {
+        let _ = address.send(Answered { probe, heartbeat }).await;
+    }
+}
+
+impl Actor for Membership {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+/// Looks at the table's deadlines.
+#[derive(Debug)]
+struct Tick;
+
+impl Handler<Tick> for Membership {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
+        let address = context.mailbox().address();
+        for action in self.table.tick(Instant::now(), &mut self.rng) {
+            self.act(&address, action);
+        }
+        self.publish();
+    }
+}
+
+/// Probe of another instance, to be answered.
+#[derive(Debug)]
+pub struct Probed(pub Heartbeat);
+
+impl Handler<Probed> for Membership {
+    type Return = Option<Heartbeat>;
+
+    async fn handle(&mut self, message: Probed, _: &mut Context<Self>) -> Option<Heartbeat> {
+        let heartbeat = message.0;
+        if heartbeat.protocol != PROTOCOL {
+            return None;
+        }
+        self.hear_version(&heartbeat).await;
+        let Heartbeat { from, rumours, .. } = heartbeat;
+        let name = Arc::clone(&from.instance.name);
+        self.table
+            .on_event(Instant::now(), Event::Probed { from, rumours });
+        Some(self.heartbeat(&name))
+    }
+}
+
+/// Answer to a probe of this instance.
+#[derive(Debug)]
+struct Answered {
+    probe: u64,
+    heartbeat: Heartbeat,
+}
+
+impl Handler<Answered> for Membership {
+    type Return = ();
+
+    async fn handle(&mut self, message: Answered, _: &mut Context<Self>) {
+        if message.heartbeat.protocol != PROTOCOL {
+            return;
+        }
+        self.hear_version(&message.heartbeat).await;
+        let Heartbeat {
+            from, mut rumours, ..
+        } = message.heartbeat;
+        rumours.push(from);
+        self.table.on_event(
+            Instant::now(),
+            Event::Answered {
+                probe: message.probe,
+                rumours,
+            },
+        );
+    }
+}
+
+/// Introduces this instance at an address of which nothing else is known.
+#[derive(Debug)]
+pub struct Greet(pub SocketAddr);
+
+/// Number of a probe that the table did not send; only the rumours of its answer count.
+const GREETING: u64 = u64::MAX;
+
+impl Handler<Greet> for Membership {
+    type Return = ();
+
+    async fn handle(&mut self, message: Greet, context: &mut Context<Self>) {
+        let heartbeat = self.heartbeat("");
+        let address = context.mailbox().address();
+        let pool = Arc::clone(&self.pool);
+        tokio::spawn(send_probe(pool, address, message.0, GREETING, heartbeat));
+    }
+}
+
+/// Asks for an instance that is not removed, by its name.
+#[derive(Debug)]
+pub struct Find(pub Arc<str>);
+
+impl Handler<Find> for Membership {
+    type Return = Option<Instance>;
+
+    async fn handle(&mut self, message: Find, _: &mut Context<Self>) -> Option<Instance> {
+        self.table
+            .present()
+            .find(|instance| instance.name == message.0)
+            .cloned()
+    }
+}
+
+/// The platform's list of instances, as just read.
+#[derive(Debug)]
+pub struct Listed(pub Vec<Instance>);
+
+impl Handler<Listed> for Membership {
+    type Return = ();
+
+    async fn handle(&mut self, message: Listed, _: &mut Context<Self>) {
+        let now = Instant::now();
+        self.platform_heard = Some(now);
+        self.table.on_event(now, Event::Listed(message.0));
+        self.publish();
+    }
+}
+
+/// Marks this instance as leaving.
+#[derive(Debug)]
+pub struct Leave;
+
+impl Handler<Leave> for Membership {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
+        self.table.leave(Instant::now());
+        self.publish();
+    }
+}
--- /dev/null
+++ b/crates/filbertbay/src/control/mod.rs
@@ -0,0 +1,153 @@
+//! Control thread of a daemon.
+//!
+//! One thread runs every decider of shared state as an actor on a current-thread runtime, next to
+//! the server of control links. It talks to traffic only through [`Published`].
+
+pub mod configuration;
+pub mod membership;
+mod roster;
+mod service;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use filbertbay_protocol::platform::Store;
+use filbertbay_transport::peer::{Pool, Server};
+use filbertbay_transport::tls::Identity;
+use slog::{Logger, o};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use xtra::Address;
+
+use self::configuration::Configuration;
+use self::membership::Membership;
+use self::service::Service;
+use crate::published::Published;
+
+/// Messages that wait for an actor at most; senders wait when it is full.
+const MAILBOX: usize = 1_024;
+
+/// Longest wait for others to hear that this instance leaves.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the control thread works with.
+#[derive(Debug)]
+pub struct Parts {
+    /// The platform.
+    pub store: Arc<dyn Store>,
+    /// Identity of control links; without it they are in the clear.
+    pub identity: Option<Arc<Identity>>,
+    /// Addresses of control links to try when the platform does not answer at start-up.
+    pub seeds: Vec<SocketAddr>,
+    /// State shared with traffic; its own instance names the address to bind.
+    pub published: Arc<Published>,
+    /// Log.
+    pub log: Logger,
+}
+
+/// Running control thread; it ends when the handle is dropped.
+#[derive(Debug)]
+pub struct Control {
+    leave: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Control {
+    /// Spawns the control thread and returns once its control links are bound.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be started or the address cannot be bound.
+    pub async fn spawn(parts: Parts) -> io::Result<Self> {
+        let (leave, left) = oneshot::channel();
+        let (started, bound) = oneshot::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let thread = thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || {
+                LocalSet::new().block_on(&runtime, run(parts, started, left));
+            })?;
+        bound
+            .await
+            .map_err(|_| io::Error::other("control thread ended"))??;
+        Ok(Self {
+            leave: Some(leave),
+            thread: Some(thread),
+        })
+    }
+
+    /// Tells others that this instance leaves, then ends the control thread.
+    pub async fn shutdown(mut self) {
+        if let Some(leave) = self.leave.take() {
+            let _ = leave.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+    }
+}
+
+async fn run(parts: Parts, started: oneshot::Sender<io::Result<()>>, leave: oneshot::Receiver<()>) {
+    let Parts {
+        store,
+        identity,
+        seeds,
+        published,
+        log,
+    } = parts;
+    let log = log.new(o!("part" => "control"));
+    let pool = Arc::new(Pool::new(identity.clone()));
+    let configuration = Configuration::spawn(
+        Arc::clone(&store),
+        Arc::clone(&pool),
+        Arc::clone(&published),
+        &log,
+    );
+    let membership = Membership::spawn(
+        Arc::clone(&pool),
+        Arc::clone(&published),
+        configuration.clone(),
+    );
+    let service = Service {
+        pool: Arc::clone(&pool),
+        membership: membership.clone(),
+        configuration: configuration.clone(),
+    };
+    let server = match Server::bind(published.own().peers, identity, service).await {
+        Ok(server) => server,
+        Err(error) => return drop(started.send(Err(error))),
+    };
+    let _ = started.send(Ok(()));
+    for seed in seeds {
+        let _ = membership.send(membership::Greet(seed)).await;
+    }
+    let roster = roster::run(
+        Arc::clone(&store),
+        Arc::clone(&published),
+        membership.clone(),
+        log.clone(),
+    );
+    let roster = tokio::spawn(roster);
+    // A dropped handle ends the thread as a request to leave does, without the farewell.
+    if leave.await.is_ok() {
+        roster.abort();
+        say_farewell(store.as_ref(), &published, &membership, &log).await;
+    }
+    drop(server);
+}
+
+async fn say_farewell(
+    store: &dyn Store,
+    published: &Published,
+    membership: &Address<Membership>,
+    log: &Logger,
+) {
+    let _ = membership.send(membership::Leave).await;
+    let farewell = roster::leave(store, published.own(), log);
+    let _ = tokio::time::timeout(LEAVE_TIMEOUT, farewell).await;
+}
--- /dev/null
+++ b/crates/filbertbay/src/control/roster.rs
@@ -0,0 +1,90 @@
+//! Announces this instance to the platform and reads the platform's list of instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertbay_coordination::spread;
+use filbertbay_protocol::platform::{Presence, Store};
+use filbertbay_state::instance::Instance;
+use rand::Rng;
+use slog::{Logger, debug, info};
+use xtra::Address;
+
+use super::membership::{Listed, Membership};
+use crate::published::Published;
+
+/// Time between two readings of the list by a watcher.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Shortest wait after a failed call.
+const RETRY_FLOOR: Duration = Duration::from_millis(200);
+
+/// Longest wait after a failed call.
+const RETRY_CEILING: Duration = Duration::from_secs(5);
+
+/// Announces this instance until the platform has heard, then reads the list from time to time.
+///
+/// Every instance reads the list once; after that only the watchers of a data centre do, so that the
+/// calls grow with data centres.
+pub(super) async fn run(
+    store: Arc<dyn Store>,
+    published: Arc<Published>,
+    membership: Address<Membership>,
+    log: Logger,
+) {
+    register(store.as_ref(), published.own(), &log).await;
+    let mut listed = false;
+    loop {
+        if !listed || is_watcher(&published) {
+            listed |= read_list(store.as_ref(), &membership, &log).await;
+        }
+        let wait = if listed { LIST_INTERVAL } else { RETRY_CEILING };
+        tokio::time::sleep(jittered(wait)).await;
+    }
+}
+
+/// Tells the platform that this instance is leaving; one attempt, since the list lags anyway.
+pub(super) async fn leave(store: &dyn Store, own: &Instance, log: &Logger) {
+    let leaving = Instance {
+        presence: Presence::Leaving,
+        ..own.clone()
+    };
+    if let Err(error) = store.register(&leaving).await {
+        info!(log, "platform did not hear that this instance leaves"; "error" => %error);
+    }
+}
+
+/// Tells whether this instance watches the platform for its data centre.
+pub(super) fn is_watcher(published: &Published) -> bool {
+    let own = published.own();
+    let instances = published.instances();
+    let mates = instances
+        .iter()
+        .filter(|instance| instance.data_centre == own.data_centre)
+        .map(|instance| instance.name.as_ref());
+    spread::is_watcher(&own.name, mates)
+}
+
+async fn register(store: &dyn Store, own: &Instance, log: &Logger) {
+    let mut wait = RETRY_FLOOR;
+    while let Err(error) = store.register(own).await {
+        debug!(log, "platform did not take the announcement"; "error" => %error);
+        tokio::time::sleep(jittered(wait)).await;
+        wait = (wait * 2).min(RETRY_CEILING);
+    }
+}
+
+async fn read_list(store: &dyn Store, membership: &Address<Membership>, log: &Logger) -> bool {
+    match store.instances().await {
+        Ok(list) => membership.send(Listed(list)).await.is_ok(),
+        Err(error) => {
+            debug!(log, "list of instances not read"; "error" => %error);
+            false
+        }
+    }
+}
+
+/// Returns a random time between half of `wait` and `wait`, so that instances spread their calls.
+pub(super) fn jittered(wait: Duration) -> Duration {
+    rand::rng().random_range(wait / 2..=wait)
+}
--- /dev/null
+++ b/crates/filbertbay/src/control/service.rs
@@ -0,0 +1,81 @@
+//! Answers to the calls of other instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertbay_protocol::peer::{Heartbeat, Peer, Relay};
+use filbertbay_state::status::Status;
+use filbertbay_transport::peer::Pool;
+use tarpc::context;
+use xtra::Address;
+
+use super::configuration::{self, Configuration};
+use super::membership::{self, Membership};
+
+/// Longest wait for the answer of a probe that is sent on for another instance.
+const RELAY_DEADLINE: Duration = Duration::from_millis(500);
+
+/// Answers calls by asking the actors of the control thread.
+#[derive(Clone, Debug)]
+pub(super) struct Service {
+    pub(super) pool: Arc<Pool>,
+    pub(super) membership: Address<Membership>,
+    pub(super) configuration: Address<Configuration>,
+}
+
+impl Peer for Service {
+    async fn probe(self, _: context::Context, heartbeat: Heartbeat) -> Option<Heartbeat> {
+        self.membership
+            .send(membership::Probed(heartbeat))
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn relay(self, _: context::Context, relay: Relay) -> Option<Heartbeat> {
+        let to = self
+            .membership
+            .send(membership::Find(relay.to))
+            .await
+            .ok()
+            .flatten()?;
+        let heartbeat = relay.heartbeat;
+        self.pool
+            .call(to.peers, RELAY_DEADLINE, |client, context| async move {
+                client.probe(context, heartbeat).await
+            })
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn announce(self, _: context::Context, from: Arc<str>, version: u64) {
+        let Ok(Some(from)) = self.membership.send(membership::Find(from)).await else {
+            return;
+        };
+        let _ = self
+            .configuration
+            .send(configuration::Heard { from, version })
+            .await;
+    }
+
+    async fn head(self, _: context::Context, above: u64) -> Option<Vec<u8>> {
+        self.configuration
+            .send(configuration::Head { above })
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn part(self, _: context::Context, digest: Arc<str>) -> Option<Vec<u8>> {
+        self.configuration
+            .send(configuration::Part { digest })
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn status(self, _: context::Context, _: Arc<str>) -> Option<Status> {
+        None
+    }
+}
--- a/crates/filbertbay/src/lib.rs
+++ b/crates/filbertbay/src/lib.rs
@@ -1,5 +1,7 @@
 //! Daemon of a filbertbay entry instance, as a library.
 
 pub mod caller;
+pub mod control;
 pub mod pool;
+pub mod published;
 pub mod settings;
