--- a/crates/state/src/key.rs
+++ b/crates/state/src/key.rs
@@ -156,13 +156,13 @@
     Cow::Owned(clean)
 }
 
-/// Replaces quoted values in a parser's message, since they might be keys.
+/// Replaces the quoted value in a parser's message, since it might be a key.
 pub(crate) fn without_values(message: &str) -> String {
-    let mut clean = String::new();
-    for (index, part) in message.split('"').enumerate() {
-        let quoted = index % 2 == 1;
-        clean.push_str(if quoted { "\"..\"" } else { part });
-    }
+    let quotes = message.find('"').zip(message.rfind('"'));
+    let clean = match quotes {
+        Some((first, last)) => format!("{}..{}", &message[..=first], &message[last..]),
+        None => message.to_owned(),
+    };
     redact(&clean).into_owned()
 }
 
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -263,6 +263,42 @@
     }
 }
 
+impl Arenas {
+    /// Estimates the memory that the configuration takes, in bytes.
+    ///
+    /// Names count once, where their item owns them; the allocator's own cost is left out.
+    pub fn size_bytes(&self) -> usize {
+        let names = self.data_centres.iter().map(|item| &item.name);
+        let names = names.chain(self.groups.iter().map(|item| &item.name));
+        let names = names.chain(self.members.iter().map(|item| &item.name));
+        let names = names.chain(self.routes.iter().map(|item| &item.name));
+        let names = names.chain(self.workspaces.iter().map(|item| &item.name));
+        let members = self.groups.iter().map(|group| size_of_val(&*group.members));
+        let workspaces = self.workspaces.iter().map(Workspace::size_bytes);
+        size_of_val(&*self.data_centres)
+            + size_of_val(&*self.groups)
+            + size_of_val(&*self.members)
+            + size_of_val(&*self.routes)
+            + size_of_val(&*self.workspaces)
+            + names.map(|name| name_bytes(name)).sum::<usize>()
+            + members.sum::<usize>()
+            + workspaces.sum::<usize>()
+    }
+}
+
+impl Workspace {
+    /// Estimates the memory behind the item itself.
+    fn size_bytes(&self) -> usize {
+        let ids = self.keys.iter().map(|key| name_bytes(&key.id));
+        size_of_val(&*self.routes) + size_of_val(&*self.keys) + ids.sum::<usize>()
+    }
+}
+
+/// Returns the memory of a shared name: its two counts and its text.
+fn name_bytes(name: &str) -> usize {
+    2 * size_of::<usize>() + name.len()
+}
+
 macro_rules! arena {
     ($id:ident, $field:ident) => {
         impl Index<id::$id> for Arenas {
--- /dev/null
+++ b/crates/state/tests/patch.rs
@@ -0,0 +1,263 @@
+//! Patches and documents of any shape: sound results or clear refusals, and no key in any text.
+
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck hands over values"
+)]
+
+use filbertbay_state::audit::Outcome;
+use filbertbay_state::check as checks;
+use filbertbay_state::document::{Document, Grant, Key};
+use filbertbay_state::key::{self, Digest};
+use filbertbay_state::patch::{Change, ErrorKind, Patch};
+use filbertbay_state::snapshot::Snapshot;
+use filbertbay_state::version::Version;
+use quickcheck::{Arbitrary, Gen};
+use serde_json::{Value, json};
+
+/// Key in clear text that a careless operator might put anywhere.
+const EXPOSED: &str = "fbk_MDEyMzQ1Njc4OWFiY2RlZg";
+
+/// Key that was not generated here, so that nothing about its form gives it away.
+const FOREIGN: &str = "a\"correct horse";
+
+/// Names that make a random value resemble a document.
+const NAMES: [&str; 24] = [
+    "data_centres",
+    "groups",
+    "routes",
+    "workspaces",
+    "caen",
+    "orders",
+    "shop",
+    "region",
+    "members",
+    "m1",
+    "group",
+    "rate",
+    "per_second",
+    "burst",
+    "keys",
+    "k1",
+    "digest",
+    "state",
+    "note",
+    "weight",
+    "availability",
+    "address",
+    "other",
+    EXPOSED,
+];
+
+/// JSON value that resembles a part of a document.
+#[derive(Clone, Debug)]
+struct Tree(Value);
+
+impl Arbitrary for Tree {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(tree(g, 5))
+    }
+}
+
+fn tree(g: &mut Gen, depth: usize) -> Value {
+    if depth == 0 || u8::arbitrary(g) < 60 {
+        return leaf(g);
+    }
+    let fields = 1 + usize::arbitrary(g) % 3;
+    let names: Vec<_> = (0..fields).map(|_| *g.choose(&NAMES).unwrap()).collect();
+    let field = |name: &str, g: &mut Gen| (name.to_owned(), tree(g, depth - 1));
+    Value::Object(names.into_iter().map(|name| field(name, g)).collect())
+}
+
+fn leaf(g: &mut Gen) -> Value {
+    let leaves = [
+        Value::Null,
+        json!(EXPOSED),
+        json!(FOREIGN),
+        json!(format!("see {EXPOSED}.")),
+        json!(["orders", EXPOSED]),
+        json!("out"),
+        json!("caen"),
+        json!(u32::arbitrary(g)),
+        json!(-1),
+        json!(true),
+        json!(String::arbitrary(g)),
+    ];
+    g.choose(&leaves).unwrap().clone()
+}
+
+/// Document with one item in each section.
+fn document() -> Document {
+    let digest = Digest::of("secret").to_string();
+    let value = json!({
+        "data_centres": {"caen": {"region": "normandie"}},
+        "groups": {"orders": {"members": {"m1": {
+            "data_centre": "caen", "address": "10.0.0.1:5432", "connections": 16, "slots": 2}}}},
+        "routes": {"orders": {"group": "orders"}},
+        "workspaces": {"shop": {"rate": {"per_second": 5, "burst": 5}, "routes": ["orders"],
+            "keys": {"k1": {"digest": digest}}}},
+    });
+    serde_json::from_value(value).unwrap()
+}
+
+fn patch(against: u64, change: Change) -> Patch {
+    Patch {
+        id: "p".into(),
+        against: Version(against),
+        author: "yann".into(),
+        reason: "test".into(),
+        at: 1,
+        change,
+    }
+}
+
+#[test]
+fn any_merge_gives_a_sound_document_or_a_refusal_without_keys() {
+    fn property(tree: Tree) -> bool {
+        let before = document();
+        let patch = patch(3, Change::Merge(tree.0));
+        let entry = match patch.apply(Version(3), &before) {
+            Ok(applied) => {
+                assert!(checks::check(&applied.document).is_empty());
+                Snapshot::compile(Version(4), &applied.document).unwrap();
+                assert_eq!(
+                    (applied.entry.from, applied.entry.to),
+                    (Version(3), Version(4))
+                );
+                applied.entry
+            }
+            Err(error) => {
+                assert_eq!(error.present(), Version(3));
+                let entry = patch.refused_entry(&error);
+                let text = format!("{error} {}", serde_json::to_string(&entry).unwrap());
+                assert!(
+                    !key::is_exposed(&text) && !text.contains("correct"),
+                    "{text}"
+                );
+                entry
+            }
+        };
+        !key::is_exposed(&serde_json::to_string(&entry).unwrap())
+    }
+    check::runner(16).quickcheck(property as fn(Tree) -> bool);
+}
+
+#[test]
+fn any_operations_give_a_sound_document_or_a_refusal_without_keys() {
+    fn property(steps: Vec<(u8, u8, u8, Tree)>) -> bool {
+        let operations = steps.iter().map(|(kind, first, second, tree)| {
+            let kinds = ["add", "remove", "replace", "test", "move", "copy"];
+            let name = |index: &u8| NAMES[usize::from(*index) % NAMES.len()];
+            let path = format!("/{}/{}", name(first), name(second));
+            let op = kinds[usize::from(*kind) % kinds.len()];
+            json!({"op": op, "path": path, "from": format!("/{}", name(first)), "value": tree.0})
+        });
+        let value = Value::Array(operations.collect());
+        let Ok(operations) = serde_json::from_value(value) else {
+            return true;
+        };
+        let patch = patch(3, Change::Operations(operations));
+        let entry = match patch.apply(Version(3), &document()) {
+            Ok(applied) => applied.entry,
+            Err(error) => {
+                assert!(!key::is_exposed(&error.to_string()), "{error}");
+                patch.refused_entry(&error)
+            }
+        };
+        !key::is_exposed(&serde_json::to_string(&entry).unwrap())
+    }
+    check::runner(6).quickcheck(property as fn(Vec<(u8, u8, u8, Tree)>) -> bool);
+}
+
+#[test]
+fn a_patch_applies_to_no_version_but_the_one_it_names() {
+    fn property(against: u64, present: u64) -> bool {
+        let merge = json!({"data_centres": {"nantes": {"region": "pays-loire"}}});
+        let patch = patch(against, Change::Merge(merge));
+        match patch.apply(Version(present), &document()) {
+            Ok(applied) => against == present && applied.document.data_centres.len() == 2,
+            Err(error) => {
+                let entry = patch.refused_entry(&error);
+                assert_eq!(
+                    (entry.outcome, entry.to),
+                    (Outcome::Refused, Version(present))
+                );
+                against != present && error.kind() == ErrorKind::Stale
+            }
+        }
+    }
+    let near = |against: u8, present: u8| property(u64::from(against % 3), u64::from(present % 3));
+    assert!(near(1, 1) && near(1, 2) && near(2, 1));
+    check::runner(16).quickcheck(property as fn(u64, u64) -> bool);
+}
+
+#[test]
+fn any_bytes_are_a_document_or_a_clear_error() {
+    fn property(bytes: Vec<u8>, edits: Vec<(usize, u8)>) -> bool {
+        let mut text = serde_json::to_vec(&document()).unwrap();
+        for (place, byte) in edits {
+            let place = place % text.len();
+            text[place] = byte;
+        }
+        [bytes, text]
+            .iter()
+            .all(|bytes| match serde_json::from_slice::<Document>(bytes) {
+                Ok(document) => {
+                    let sound = checks::check(&document).is_empty();
+                    Snapshot::compile(Version(1), &document).is_ok() == sound
+                }
+                Err(error) => !error.to_string().is_empty(),
+            })
+    }
+    check::runner(8).quickcheck(property as fn(Vec<u8>, Vec<(usize, u8)>) -> bool);
+}
+
+#[test]
+fn a_key_in_clear_text_is_a_problem() {
+    let mut named = document();
+    let key = named.workspaces["shop"].keys["k1"].clone();
+    let keys = &mut named.workspaces.get_mut("shop").unwrap().keys;
+    keys.clear();
+    keys.insert(EXPOSED.into(), key);
+    let mut noted = document();
+    let keys = &mut noted.workspaces.get_mut("shop").unwrap().keys;
+    keys.get_mut("k1").unwrap().note = Some(EXPOSED.into());
+    for document in [named, noted] {
+        let problems = checks::check(&document);
+        assert_eq!(problems.len(), 1);
+        assert!(!key::is_exposed(&problems[0].to_string()));
+    }
+}
+
+#[test]
+fn only_granted_keys_of_the_workspace_itself_are_found() {
+    fn property(keys: Vec<(u8, bool)>, presented: u8) -> bool {
+        let mut document = document();
+        let other = document.workspaces["shop"].clone();
+        let shop = document.workspaces.get_mut("shop").unwrap();
+        shop.keys.clear();
+        for (secret, granted) in &keys {
+            let key = Key {
+                digest: Digest::of(&secret.to_string()).to_string().into(),
+                state: if *granted {
+                    Grant::Granted
+                } else {
+                    Grant::Withdrawn
+                },
+                note: None,
+            };
+            shop.keys.insert(format!("k{secret}").into(), key);
+        }
+        let expected = shop.keys.get(format!("k{presented}").as_str());
+        let expected = expected.is_some_and(|key| key.state == Grant::Granted);
+        document.workspaces.insert("other".into(), other);
+        let snapshot = Snapshot::compile(Version(1), &document).unwrap();
+        let shop = snapshot.workspace("shop").unwrap();
+        let found = snapshot.find_key(shop, &presented.to_string());
+        assert_eq!(snapshot.find_key(shop, "secret"), None);
+        let id = format!("k{presented}");
+        assert_eq!(snapshot.is_granted(shop, &id), expected);
+        found.as_deref() == Some(id.as_str()).filter(|_| expected)
+    }
+    check::runner(200).quickcheck(property as fn(Vec<(u8, bool)>, u8) -> bool);
+}
