--- /dev/null
+++ b/crates/filbertbay/examples/capacity/fit.rs
@@ -0,0 +1,46 @@
+//! Straight line through measured points.
+
+use serde::Serialize;
+
+/// Least-squares line `value = intercept + slope * size` with its residual.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// Growth of the value for each unit of size.
+    pub slope: f64,
+    /// Value at size zero.
+    pub intercept: f64,
+    /// Largest distance of a point from the line, as a share of the largest value.
+    pub residual: f64,
+}
+
+impl Line {
+    /// Fits a line through points of size and value.
+    pub fn fit(points: &[(f64, f64)]) -> Self {
+        let count = points.len() as f64;
+        let mean = |pick: fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
+        let (mean_x, mean_y) = (mean(|point| point.0), mean(|point| point.1));
+        let covariance: f64 = points
+            .iter()
+            .map(|(x, y)| (x - mean_x) * (y - mean_y))
+            .sum();
+        let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        let slope = covariance / variance;
+        let intercept = mean_y - slope * mean_x;
+        let largest = points
+            .iter()
+            .map(|(_, y)| y.abs())
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let distance = |&(x, y): &(f64, f64)| (y - intercept - slope * x).abs();
+        let residual = points.iter().map(distance).fold(0.0, f64::max) / largest;
+        Self {
+            slope,
+            intercept,
+            residual,
+        }
+    }
+
+    /// Returns the value of the line at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+}
--- a/crates/filbertbay/src/control/configuration.rs
+++ b/crates/filbertbay/src/control/configuration.rs
@@ -110,19 +110,25 @@
     }
 
     /// Puts a bundle in force if it is newer and sound.
-    fn adopt(&mut self, bundle: Bundle) -> Vec<Action> {
+    ///
+    /// A large document takes long to compile, so that runs beside the control thread.
+    async fn adopt(&mut self, bundle: Bundle) -> Vec<Action> {
         let version = bundle.version();
         if version.0 <= self.spread.version() {
             return Vec::new();
         }
-        let snapshot = match bundle.snapshot() {
-            Ok(snapshot) => snapshot,
-            Err(error) => {
+        let compiled = bundle.clone();
+        let compiled = tokio::task::spawn_blocking(move || compiled.snapshot()).await;
+        let snapshot = match compiled {
+            Ok(Ok(snapshot)) => snapshot,
+            Ok(Err(error)) => {
                 warn!(self.log, "configuration not usable, the present one stays";
                     "version" => version.0, "error" => %error);
                 metrics::counter!("filbertbay_configuration_refused_total").increment(1);
                 return self.spread.on_event(Instant::now(), Event::Failed);
             }
+            // The thread only ends early when the daemon does.
+            Err(_) => return Vec::new(),
         };
         self.bundle = bundle;
         self.published.set_snapshot(snapshot);
@@ -170,7 +176,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: Loaded, context: &mut Context<Self>) {
-        let actions = self.adopt(message.0);
+        let actions = self.adopt(message.0).await;
         self.act(&context.mailbox().address(), None, actions);
     }
 }
--- a/crates/filbertbay/src/published.rs
+++ b/crates/filbertbay/src/published.rs
@@ -12,8 +12,8 @@
 use filbertbay_state::snapshot::Snapshot;
 use tokio::sync::watch;
 
-/// Group views by the name of the group.
-pub type Groups = BTreeMap<Arc<str>, Arc<view::Group>>;
+/// Group views by the name of the group; a view is replaced without touching the map.
+type Groups = BTreeMap<Arc<str>, Arc<ArcSwap<view::Group>>>;
 
 /// Shared state of one daemon, written by control and read by traffic.
 #[derive(Debug)]
@@ -65,15 +65,19 @@
 
     /// Returns the view of a group, if control has one.
     pub fn group(&self, name: &str) -> Option<Arc<view::Group>> {
-        self.groups.load().get(name).cloned()
+        self.groups.load().get(name).map(|slot| slot.load_full())
     }
 
     /// Replaces the view of one group.
     pub fn set_group(&self, view: view::Group) {
         let view = Arc::new(view);
+        if let Some(slot) = self.groups.load().get(&view.name) {
+            return slot.store(view);
+        }
         self.groups.rcu(|groups| {
             let mut groups = Groups::clone(groups);
-            groups.insert(Arc::clone(&view.name), Arc::clone(&view));
+            let slot = Arc::new(ArcSwap::new(Arc::clone(&view)));
+            groups.insert(Arc::clone(&view.name), slot);
             groups
         });
     }
