--- a/crates/filbertbay/src/caller.rs
+++ b/crates/filbertbay/src/caller.rs
@@ -30,7 +30,7 @@
 use self::answer::{Refusal, State};
 use self::guard::Phase;
 use self::policy::Policy;
-use self::startup::{Failure, STARTUP_TIMEOUT};
+use self::startup::Failure;
 use crate::pool::Pool;
 
 /// Wait after the listener has failed, such as for want of file descriptors.
@@ -54,6 +54,8 @@
     pub data_centre: Arc<str>,
     /// Sessions by their cancel keys.
     pub registry: Arc<cancel::Registry>,
+    /// Time from a caller's connection to the end of its startup.
+    pub startup_timeout: Duration,
     /// TLS towards callers.
     pub tls: Option<tls::Identity>,
     /// Phase of the instance.
@@ -75,13 +77,12 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the address can't be bound.
-pub async fn bind(
+/// Returns an error if the listener has no address.
+pub fn spawn(
     shared: Arc<Shared>,
-    address: SocketAddr,
+    listener: TcpListener,
     max_callers: usize,
 ) -> std::io::Result<Handle> {
-    let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
     let max_callers = u32::try_from(max_callers)
         .unwrap_or(u32::MAX)
@@ -144,7 +145,7 @@
     _place: OwnedSemaphorePermit,
 ) {
     gauge!("filbertbay_callers").increment(1.0);
-    match timeout(STARTUP_TIMEOUT, startup::open(&shared, socket)).await {
+    match timeout(shared.startup_timeout, startup::open(&shared, socket)).await {
         Ok(Ok(Some(session))) => session.run().await,
         Ok(Ok(None)) => {}
         Ok(Err(Failure::Refused(mut stream, refusal))) => {
--- a/crates/filbertbay/src/caller/guard.rs
+++ b/crates/filbertbay/src/caller/guard.rs
@@ -62,7 +62,7 @@
     policy: Arc<dyn Policy>,
     data_centre: Arc<str>,
     identity: Identity,
-    changes: watch::Receiver<u64>,
+    changes: watch::Receiver<Snapshot>,
     phase: watch::Receiver<Phase>,
     snapshot: Snapshot,
     place: Option<Place>,
--- a/crates/filbertbay/src/caller/policy.rs
+++ b/crates/filbertbay/src/caller/policy.rs
@@ -50,7 +50,7 @@
     fn group(&self, name: &str) -> Option<Arc<Group>>;
 
     /// Returns a receiver that changes with each new configuration.
-    fn changes(&self) -> watch::Receiver<u64>;
+    fn changes(&self) -> watch::Receiver<Snapshot>;
 
     /// Waits until it is known whether finished work may be acknowledged.
     async fn confirm(&self, finished: Finished) -> Outcome;
--- a/crates/filbertbay/src/caller/startup.rs
+++ b/crates/filbertbay/src/caller/startup.rs
@@ -45,7 +45,7 @@
 /// Major version of the protocol.
 const MAJOR: u16 = 3;
 
-/// Time from the connection to the end of the startup.
+/// Time from the connection to the end of the startup, where no other is set.
 pub const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Startup parameter by which a caller states the age that its reads accept.
--- a/crates/filbertbay/src/main.rs
+++ b/crates/filbertbay/src/main.rs
@@ -1,3 +1,66 @@
-//! Placeholder.
+//! Daemon of a filbertbay entry instance.
 
-fn main() {}
+use std::path::PathBuf;
+
+use bpaf::{Bpaf, Parser};
+use filbertbay::settings::Settings;
+use filbertbay::{daemon, log};
+use miette::{IntoDiagnostic, Result};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Entry instance of filbertbay, a database proxy with session consistency.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs the instance until SIGTERM; a second SIGTERM ends it at once.
+    #[bpaf(command)]
+    Run {
+        /// File with the settings, in JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Checks a settings file and ends with 0 if it can be used.
+    #[bpaf(command)]
+    Check {
+        /// File with the settings, in JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+}
+
+fn main() -> Result<()> {
+    match command().run() {
+        Command::Run { settings } => run(Settings::read(&settings)?),
+        Command::Check { settings } => {
+            Settings::read(&settings)?;
+            println!("{}: settings can be used", settings.display());
+            Ok(())
+        }
+    }
+}
+
+fn run(settings: Settings) -> Result<()> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if settings.traffic_threads > 0 {
+        builder.worker_threads(settings.traffic_threads);
+    }
+    let runtime = builder.enable_all().build().into_diagnostic()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let log = log::open(settings.log, &settings.name, &settings.data_centre);
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let daemon = daemon::spawn(settings, log).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tokio::select! {
+        () = daemon.shutdown() => {}
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/filbertbay/src/metric.rs
@@ -0,0 +1,82 @@
+//! Metrics and the health answer.
+//!
+//! | path | answer |
+//! |---|---|
+//! | `/metrics` | metrics in the text format of Prometheus |
+//! | `/health` | 200 while the instance takes new callers, 503 while it drains |
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::caller::guard::Phase;
+
+/// Server of metrics and health; it ends when dropped.
+#[derive(Debug)]
+pub struct Handle {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+/// Starts to serve metrics and health.
+///
+/// # Errors
+///
+/// Returns an error if the listener has no address.
+pub fn spawn(listener: TcpListener, phase: watch::Receiver<Phase>) -> std::io::Result<Handle> {
+    let address = listener.local_addr()?;
+    let router = Router::new()
+        .route("/metrics", get(async || recorder().render()))
+        .route("/health", get(health))
+        .with_state(phase);
+    let task = tokio::spawn(async move {
+        // The server ends only with the daemon.
+        let _ = axum::serve(listener, router).await;
+    });
+    Ok(Handle { address, task })
+}
+
+impl Handle {
+    /// Returns the address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Returns the recorder of this process, which all instances in it share.
+fn recorder() -> &'static PrometheusHandle {
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    RECORDER.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // A program that embeds the daemon may have its own recorder, which then takes the values.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    })
+}
+
+/// Starts to record metrics.
+pub fn install() {
+    recorder();
+}
+
+async fn health(State(phase): State<watch::Receiver<Phase>>) -> (StatusCode, &'static str) {
+    match *phase.borrow() {
+        Phase::Serving => (StatusCode::OK, "serving\n"),
+        Phase::Draining(_) => (StatusCode::SERVICE_UNAVAILABLE, "draining\n"),
+    }
+}
--- a/crates/filbertbay/src/settings.rs
+++ b/crates/filbertbay/src/settings.rs
@@ -21,15 +21,18 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod check;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
+pub use self::check::{Error, Problem};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 
 /// Settings of one daemon.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this instance, unique in the fleet.
@@ -116,3 +119,18 @@
         30_000
     }
 }
+
+impl std::fmt::Debug for Settings {
+    /// Leaves the secrets out.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Settings")
+            .field("name", &self.name)
+            .field("data_centre", &self.data_centre)
+            .field("callers", &self.callers)
+            .field("peers", &self.peers)
+            .field("forwards", &self.forwards)
+            .field("metrics", &self.metrics)
+            .field("platform", &self.platform)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,12 +24,16 @@
 use parking_lot::Mutex;
 use slog::{Logger, o};
 use standin::group;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_postgres::{Client, Config, NoTls};
 
 /// Longest wait for anything.
 pub const DEADLINE: Duration = Duration::from_secs(20);
 
+/// Time that callers have for their startup.
+pub const STARTUP_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Key of the workspace `shop`.
 pub const KEY: &str = "key-of-the-shop-53d1";
 
@@ -43,7 +48,7 @@
 pub struct Control {
     group: Arc<group::Handle>,
     document: Mutex<(u64, Document)>,
-    changes: watch::Sender<u64>,
+    changes: watch::Sender<Snapshot>,
     /// Whether writes can be confirmed.
     pub confirms: Mutex<bool>,
     /// Whether statements are admitted.
@@ -59,7 +64,9 @@
         let mut document = self.document.lock();
         change(&mut document.1);
         document.0 += 1;
-        self.changes.send_replace(document.0);
+        let snapshot = Snapshot::compile(Version(document.0), &document.1).expect("valid");
+        drop(document);
+        self.changes.send_replace(snapshot);
     }
 
     /// Withdraws the key of the workspace `shop`.
@@ -112,7 +119,7 @@
         }))
     }
 
-    fn changes(&self) -> watch::Receiver<u64> {
+    fn changes(&self) -> watch::Receiver<Snapshot> {
         self.changes.subscribe()
     }
 
@@ -171,7 +178,7 @@
         .connect_time(Duration::from_millis(1))
         .record(true);
     let group = Arc::new(group.spawn().await.expect("the group starts"));
-    let (changes, _) = watch::channel(1);
+    let (changes, _) = watch::channel(Snapshot::empty());
     let control = Arc::new(Control {
         document: Mutex::new((1, document(&group))),
         group: Arc::clone(&group),
@@ -189,13 +196,17 @@
         replicas: replica::Config::default(),
         data_centre: "quimper".into(),
         registry: Arc::default(),
+        startup_timeout: STARTUP_TIMEOUT,
         tls: None,
         phase: phase_receiver,
         log: Logger::root(slog::Discard, o!()),
     };
     let address = "127.0.0.1:0".parse().expect("an address");
-    let callers = caller::bind(Arc::new(shared), address, options.max_callers).await;
-    let callers = callers.expect("the address is free");
+    let listener = TcpListener::bind::<SocketAddr>(address)
+        .await
+        .expect("the port is free");
+    let callers = caller::spawn(Arc::new(shared), listener, options.max_callers);
+    let callers = callers.expect("the listener is bound");
     Fixture {
         group,
         control,
--- /dev/null
+++ b/crates/filbertbay/tests/input.rs
@@ -0,0 +1,166 @@
+//! Bytes that no caller should send.
+
+#![allow(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck passes its arguments by value"
+)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+
+use bytes::{BufMut, BytesMut};
+use common::{DEADLINE, Fixture, KEY, Options, STARTUP_TIMEOUT, connect, spawn, state, until};
+use pgwire::messages::Message;
+use pgwire::messages::startup::{Password, Startup};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::time::timeout;
+use tokio_postgres::Client;
+
+/// Sends bytes, ends the stream and reads what comes back until the instance closes.
+async fn exchange(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    // The instance may close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut answer = Vec::new();
+    let _ = timeout(DEADLINE, stream.read_to_end(&mut answer))
+        .await
+        .expect("closed in time");
+    answer
+}
+
+fn startup() -> BytesMut {
+    let mut startup = Startup::new();
+    for (name, value) in [("user", "shop"), ("database", "orders")] {
+        startup.parameters.insert(name.into(), value.into());
+    }
+    let mut bytes = BytesMut::new();
+    startup.encode(&mut bytes).expect("short");
+    bytes
+}
+
+fn login() -> BytesMut {
+    let mut bytes = startup();
+    Password::new(KEY.to_owned())
+        .encode(&mut bytes)
+        .expect("short");
+    bytes
+}
+
+fn contains(bytes: &[u8], text: &str) -> bool {
+    bytes
+        .windows(text.len())
+        .any(|window| window == text.as_bytes())
+}
+
+/// Instance that all cases of a property share.
+struct Instance {
+    runtime: Runtime,
+    fixture: Fixture,
+    client: Client,
+}
+
+static INSTANCE: LazyLock<Instance> = LazyLock::new(|| {
+    let runtime = Runtime::new().expect("a runtime");
+    let fixture = runtime.block_on(spawn(Options::default()));
+    let client = runtime.block_on(fixture.connect());
+    Instance {
+        runtime,
+        fixture,
+        client,
+    }
+});
+
+/// Returns messages of known kinds with arbitrary bodies.
+fn frames(bytes: &[u8], kinds: &[u8]) -> BytesMut {
+    const KINDS: &[u8] = b"QPBDECHSXpdcf";
+    const BODY: usize = 24;
+    let body = &bytes[..bytes.len() % BODY];
+    let mut frames = login();
+    for kind in kinds {
+        frames.put_u8(KINDS[usize::from(*kind) % KINDS.len()]);
+        frames.put_u32(body.len() as u32 + 4);
+        frames.put_slice(body);
+    }
+    frames
+}
+
+#[test]
+fn arbitrary_bytes_disturb_nobody() {
+    fn property(bytes: Vec<u8>, kinds: Vec<u8>) -> bool {
+        let instance = &*INSTANCE;
+        let address = instance.fixture.callers.address();
+        instance.runtime.block_on(async {
+            exchange(address, &bytes).await;
+            exchange(address, &[&login()[..], &bytes].concat()).await;
+            exchange(address, &frames(&bytes, &kinds)).await;
+            instance.client.query_one("SELECT 1", &[]).await.is_ok()
+        })
+    }
+    check::runner(60).quickcheck(property as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_startups_are_told_so() {
+    let fixture = spawn(Options::default()).await;
+    let address = fixture.callers.address();
+    let long = [&u32::MAX.to_be_bytes()[..], b"GET / HTTP/1.1"].concat();
+    let old = [&8_u32.to_be_bytes()[..], &[0, 2, 0, 0]].concat();
+    for bytes in [long, old] {
+        let answer = exchange(address, &bytes).await;
+        assert!(contains(&answer, "08P01"), "{answer:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_over_long_message_ends_the_session_with_a_reason() {
+    let fixture = spawn(Options::default()).await;
+    let mut bytes = login();
+    bytes.put_u8(b'Q');
+    bytes.put_u32(1 << 30);
+    let answer = exchange(fixture.callers.address(), &bytes).await;
+    assert!(contains(&answer, "08P01"), "{answer:?}");
+    assert!(contains(&answer, "FATAL"), "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_beyond_the_limit_are_turned_away() {
+    let fixture = spawn(Options {
+        max_callers: 2,
+        ..Options::default()
+    })
+    .await;
+    let first = fixture.connect().await;
+    let _second = fixture.connect().await;
+    let refused = connect(&fixture.config()).await.expect_err("full");
+    assert_eq!(state(&refused), "53300");
+    drop(first);
+    until("a free place", async || {
+        connect(&fixture.config()).await.is_ok()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_caller_is_let_go() {
+    let fixture = spawn(Options {
+        max_callers: 1,
+        ..Options::default()
+    })
+    .await;
+    let mut silent = TcpStream::connect(fixture.callers.address())
+        .await
+        .expect("accepted");
+    silent.write_all(&startup()).await.expect("sent");
+    let mut answer = Vec::new();
+    let ended = timeout(STARTUP_TIMEOUT + DEADLINE, silent.read_to_end(&mut answer)).await;
+    assert!(ended.is_ok(), "the connection is still open");
+    until("a free place", async || {
+        connect(&fixture.config()).await.is_ok()
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/filbertbay/tests/rights.rs
@@ -0,0 +1,211 @@
+//! Sessions whose right ends, and statements that are cut off.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{DEADLINE, Fixture, Options, connect, spawn, state, until};
+use filbertbay::caller::guard::Phase;
+use filbertbay_state::document::Availability;
+use tokio::time::timeout;
+use tokio_postgres::{Client, NoTls};
+
+async fn table(fixture: &Fixture) -> Client {
+    let client = fixture.connect().await;
+    client
+        .batch_execute("CREATE TABLE lilies (id int8 PRIMARY KEY)")
+        .await
+        .expect("new");
+    client
+}
+
+/// Waits until the instance has closed the connection.
+async fn closed(client: &Client) {
+    until("the end of the session", async || client.is_closed()).await;
+}
+
+async fn count(fixture: &Fixture) -> i64 {
+    let member = fixture.group.primary().address();
+    let text = format!(
+        "host={} port={} user=t password={} dbname=orders",
+        member.ip(),
+        member.port(),
+        common::PASSWORD
+    );
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await.expect("direct");
+    tokio::spawn(connection);
+    client
+        .query_one("SELECT count(*) FROM lilies", &[])
+        .await
+        .expect("read")
+        .get(0)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_ends_an_idle_session_and_admits_no_new_one() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    fixture.control.withdraw();
+    closed(&client).await;
+    let refused = connect(&fixture.config()).await.expect_err("withdrawn");
+    assert_eq!(state(&refused), "28P01");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_cuts_a_running_statement() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let start = Instant::now();
+    let running = client.batch_execute("SELECT pg_sleep(30)");
+    let (cut, ()) = tokio::join!(running, async { fixture.control.withdraw() });
+    let cut = cut.expect_err("cut off");
+    assert!(matches!(state(&cut).as_str(), "57014" | "28000"), "{cut:?}");
+    assert!(start.elapsed() < DEADLINE);
+    closed(&client).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_rolls_an_open_transaction_back() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    client
+        .batch_execute("BEGIN; INSERT INTO lilies VALUES (1)")
+        .await
+        .expect("open");
+    fixture.control.withdraw();
+    closed(&client).await;
+    until("the rollback", async || {
+        let direct = timeout(DEADLINE, count(&fixture)).await;
+        direct.expect("in time") == 0
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_is_out_lets_go_of_its_callers() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    fixture.control.patch(|document| {
+        let centre = document
+            .data_centres
+            .get_mut("quimper")
+            .expect("configured");
+        centre.availability = Availability::Out;
+    });
+    closed(&client).await;
+    let refused = connect(&fixture.config()).await.expect_err("taken out");
+    assert_eq!(state(&refused), "57P01");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_lets_open_transactions_finish() {
+    let fixture = spawn(Options::default()).await;
+    let idle = table(&fixture).await;
+    let busy = fixture.connect().await;
+    busy.batch_execute("BEGIN; INSERT INTO lilies VALUES (1)")
+        .await
+        .expect("open");
+    fixture
+        .phase
+        .send_replace(Phase::Draining(Instant::now() + DEADLINE));
+    fixture.callers.stop();
+    closed(&idle).await;
+    busy.batch_execute("INSERT INTO lilies VALUES (2)")
+        .await
+        .expect("goes on");
+    busy.batch_execute("COMMIT").await.expect("committed");
+    closed(&busy).await;
+    timeout(DEADLINE, fixture.callers.ended())
+        .await
+        .expect("every session has ended");
+    assert_eq!(count(&fixture).await, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_cancels_its_own_statement() {
+    let fixture = spawn(Options {
+        connections: 1,
+        ..Options::default()
+    })
+    .await;
+    let client = table(&fixture).await;
+    let token = client.cancel_token();
+    let start = Instant::now();
+    let running = async {
+        let result = client.batch_execute("SELECT pg_sleep(30)").await;
+        result.expect_err("cancelled")
+    };
+    tokio::pin!(running);
+    // A request that arrives before the statement runs has no effect, so it is sent until it has.
+    let cancelled = loop {
+        tokio::select! {
+            error = &mut running => break error,
+            () = tokio::time::sleep(Duration::from_millis(20)) => {
+                token.cancel_query(NoTls).await.expect("taken");
+            }
+        }
+    };
+    assert_eq!(state(&cancelled), "57014");
+    assert!(start.elapsed() < DEADLINE);
+    client
+        .query_one("SELECT 1", &[])
+        .await
+        .expect("the session goes on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_over_its_limit_is_cancelled() {
+    let fixture = spawn(Options::default()).await;
+    let _table = table(&fixture).await;
+    let mut config = fixture.config();
+    config.dbname("hurried");
+    let client = connect(&config).await.expect("taken");
+    let cut = client
+        .batch_execute("SELECT pg_sleep(30)")
+        .await
+        .expect_err("over its limit");
+    assert_eq!(state(&cut), "57014");
+    client
+        .query_one("SELECT 1", &[])
+        .await
+        .expect("the session goes on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_full_endpoint_is_told_truthfully() {
+    let fixture = spawn(Options {
+        connections: 1,
+        ..Options::default()
+    })
+    .await;
+    let client = table(&fixture).await;
+    client
+        .batch_execute("BEGIN; INSERT INTO lilies VALUES (1)")
+        .await
+        .expect("open");
+    let other = fixture.connect().await;
+    let refused = other.batch_execute("INSERT INTO lilies VALUES (2)").await;
+    let refused = refused.expect_err("the only connection is in use");
+    assert_eq!(state(&refused), "53300");
+    assert!(
+        refused
+            .as_db_error()
+            .expect("answered")
+            .message()
+            .contains("not run")
+    );
+    client.batch_execute("COMMIT").await.expect("committed");
+    assert_eq!(count(&fixture).await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_token_carries_the_floor_and_a_foreign_one_is_refused() {
+    let fixture = spawn(Options::default()).await;
+    let _table = table(&fixture).await;
+    let mut config = fixture.config();
+    config.options("-c filbertbay.token=AAAA -c filbertbay.staleness=1s");
+    let refused = connect(&config).await.expect_err("forged");
+    assert_eq!(state(&refused), "08P01");
+    config.options("-c filbertbay.staleness=1s");
+    connect(&config).await.expect("taken");
+}
