--- a/crates/filbertbay/src/caller/session/place.rs
+++ b/crates/filbertbay/src/caller/session/place.rs
@@ -53,7 +53,13 @@
     ) -> Result<Box<Open>, Refusal> {
         let mut search = self.search(work, avoided)?;
         loop {
-            let view = self.view(&search)?;
+            let Some(view) = self.view(&search) else {
+                if Instant::now() >= search.deadline {
+                    return Err(unavailable("the group is not known yet"));
+                }
+                sleep(REPEAT).await;
+                continue;
+            };
             self.consistency.observe(&view);
             let choice = self.choose(work, &view, &search);
             let now = Instant::now();
@@ -105,9 +111,8 @@
     }
 
     /// Returns the view of the group without the members that have failed.
-    fn view(&self, search: &Search) -> Result<Arc<view::Group>, Refusal> {
-        let view = self.shared.policy.group(&search.group);
-        let mut view = view.ok_or_else(|| unavailable("the group is not known yet"))?;
+    fn view(&self, search: &Search) -> Option<Arc<view::Group>> {
+        let mut view = self.shared.policy.group(&search.group)?;
         if !search.avoided.is_empty() {
             let group = Arc::make_mut(&mut view);
             for member in &search.avoided {
@@ -116,7 +121,7 @@
                 }
             }
         }
-        Ok(view)
+        Some(view)
     }
 
     fn choose(&self, work: &Work, view: &view::Group, search: &Search) -> Choice {
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -85,7 +85,17 @@
     let callers = caller::spawn(shared, listener, settings.max_callers)?;
     info!(log, "instance started"; "callers" => %callers.address(), "metrics" => %metrics.address());
     let drain = Duration::from_millis(settings.drain_ms);
-    Ok(Handle { instance, phase, published, callers, steering, metrics, control, drain, log })
+    Ok(Handle {
+        instance,
+        phase,
+        published,
+        callers,
+        steering,
+        metrics,
+        control,
+        drain,
+        log,
+    })
 }
 
 /// Returns the instance with the addresses that are in fact used.
@@ -115,7 +125,10 @@
     published: &Arc<Published>,
     log: &Logger,
 ) -> Result<control::Parts, Error> {
-    let identity = settings.peer_tls.as_ref().map(|tls| Identity::open(files(tls), None));
+    let identity = settings
+        .peer_tls
+        .as_ref()
+        .map(|tls| Identity::open(files(tls), None));
     Ok(control::Parts {
         store: Arc::new(Client::open(&settings.platform)?),
         identity: identity.transpose()?.map(Arc::new),
@@ -131,14 +144,20 @@
     phase: watch::Receiver<Phase>,
     log: &Logger,
 ) -> Result<Arc<Shared>, Error> {
-    let secrets = settings.token_secrets.iter().map(|secret| hex::decode(secret.as_ref()));
+    let secrets = settings
+        .token_secrets
+        .iter()
+        .map(|secret| hex::decode(secret.as_ref()));
     let secrets: Vec<Vec<u8>> = secrets.map(Result::unwrap_or_default).collect();
     let config = pool::Config::new(
         Arc::clone(&settings.endpoint_user),
         Arc::clone(&settings.endpoint_password),
         Arc::clone(&settings.name),
     );
-    let tls = settings.caller_tls.as_ref().map(|tls| Identity::open(files(tls), None));
+    let tls = settings
+        .caller_tls
+        .as_ref()
+        .map(|tls| Identity::open(files(tls), None));
     Ok(Arc::new(Shared {
         policy: Arc::clone(steering) as Arc<dyn caller::policy::Policy>,
         pool: Arc::new(Pool::new(config)),
@@ -179,8 +198,12 @@
         info!(self.log, "draining"; "limit_ms" => self.drain.as_millis() as u64);
         self.callers.stop();
         self.published.drain();
-        self.phase.send_replace(Phase::Draining(Instant::now() + self.drain));
-        if timeout(self.drain + FAREWELL, self.callers.ended()).await.is_err() {
+        self.phase
+            .send_replace(Phase::Draining(Instant::now() + self.drain));
+        if timeout(self.drain + FAREWELL, self.callers.ended())
+            .await
+            .is_err()
+        {
             warn!(self.log, "some callers were cut off");
         }
         self.steering.stop();
--- a/crates/filbertbay/src/main.rs
+++ b/crates/filbertbay/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use bpaf::{Bpaf, Parser};
+use bpaf::Bpaf;
 use filbertbay::settings::Settings;
 use filbertbay::{daemon, log};
 use miette::{IntoDiagnostic, Result};
--- a/crates/filbertbay/src/steering.rs
+++ b/crates/filbertbay/src/steering.rs
@@ -1,7 +1,8 @@
 //! What control decides for traffic, read from its published state.
 //!
 //! Until control runs an actor for each group, a task for each group asks the members for their
-//! status here and serves confirmations.
+//! status here and serves confirmations; until it keeps the allocation of shares, they are split
+//! evenly over the instances that it knows.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
     Action, Cause, Config, Decider, Event, Outcome, Request, Ticket,
 };
 use filbertbay_coordination::quorum::{Rule, Set};
-use filbertbay_coordination::share::{Admission, Allocation, Ledger, self};
+use filbertbay_coordination::share::{self, Admission, Allocation, Ledger};
 use filbertbay_coordination::view::{Group, Mark, Member, Observation};
 use filbertbay_protocol::endpoint::Endpoint;
 use filbertbay_state::id;
@@ -68,11 +69,27 @@
             ledger: Mutex::new(ledger),
             tasks: Mutex::default(),
         });
-        let task = tokio::spawn(follow(Arc::clone(&steering)));
-        steering.tasks.lock().push(task);
+        let tasks = [
+            tokio::spawn(follow(Arc::clone(&steering))),
+            tokio::spawn(split(Arc::clone(&steering))),
+        ];
+        steering.tasks.lock().extend(tasks);
         steering
     }
 
+    /// Takes this instance's lanes of an even split over the instances that control knows.
+    fn split(&self) {
+        let now = Instant::now();
+        let instances = self.published.instances();
+        let holders: Vec<_> = instances
+            .iter()
+            .map(|i| (i.name.as_ref(), i.incarnation, i.data_centre.as_ref()))
+            .collect();
+        let mut ledger = self.ledger.lock();
+        ledger.adopt(now, Arc::new(Allocation::even(&holders)));
+        ledger.extend(now);
+    }
+
     /// Ends the tasks.
     pub fn stop(&self) {
         for task in self.tasks.lock().drain(..) {
@@ -116,10 +133,14 @@
 
 /// Names the member that leads the highest term as the primary.
 fn lead(group: &mut Group) {
-    let leads = group.members.iter().enumerate().filter_map(|(index, member)| {
-        let status = member.observation?.status;
-        (status.role == Role::Primary).then_some((status.received.term, index))
-    });
+    let leads = group
+        .members
+        .iter()
+        .enumerate()
+        .filter_map(|(index, member)| {
+            let status = member.observation?.status;
+            (status.role == Role::Primary).then_some((status.received.term, index))
+        });
     let leader = leads.max();
     group.primary = leader.map(|(_, index)| index);
     group.term = leader.map_or(group.term, |(term, _)| term);
@@ -133,14 +154,26 @@
         (observation.asked == asked).then_some(observation.status)
     });
     let supporters = answers.filter(|status| status.fenced <= group.term).count();
-    let own = group.members[primary].observation.filter(|own| own.asked == asked);
+    let own = group.members[primary]
+        .observation
+        .filter(|own| own.asked == asked);
     if let Some(own) = own.filter(|_| supporters > group.members.len() / 2) {
-        group.marks.push(Mark { asked, position: own.status.received });
+        group.marks.push(Mark {
+            asked,
+            position: own.status.received,
+        });
         let surplus = group.marks.len().saturating_sub(MAX_MARKS);
         group.marks.drain(..surplus);
     }
 }
 
+async fn split(steering: Arc<Steering>) {
+    loop {
+        steering.split();
+        sleep(POLL).await;
+    }
+}
+
 async fn follow(steering: Arc<Steering>) {
     let mut changes = steering.published.subscribe();
     loop {
@@ -243,14 +276,7 @@
 
     async fn admit(&self, demand: Demand) -> bool {
         let now = Instant::now();
-        let instances = self.published.instances();
         let mut ledger = self.ledger.lock();
-        let holders: Vec<_> = instances
-            .iter()
-            .map(|i| (i.name.as_ref(), i.incarnation, i.data_centre.as_ref()))
-            .collect();
-        ledger.adopt(now, Arc::new(Allocation::even(&holders)));
-        ledger.extend(now);
         let admission = ledger.take(now, &demand.workspace, demand.rate, demand.cost);
         matches!(admission, Admission::Run)
     }
