--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -22,7 +22,9 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod answer;
 mod function;
+mod handler;
 mod member;
 pub mod network;
 mod replication;
--- a/crates/standin/src/group/server.rs
+++ b/crates/standin/src/group/server.rs
@@ -30,8 +30,9 @@
 use tokio_util::codec::Framed;
 
 use super::function::VERSION;
+use super::handler::Prepared;
 use super::member::Member;
-use super::session::{Prepared, Session};
+use super::session::Session;
 
 /// Server of one member, shared by its connections.
 #[derive(Debug)]
