Add failover and prove it with sessions over random histories

Cause: nobody but the instances orders a promotion, and nothing proved that confirmation, failover and sessions hold together under failure. Ruled out: a lease as proof of authority (it stops writes in every outage of the platform and lapses under a paused holder); holding back writes at all entries for a planned move (instances cut off do not hear of it). The lead moves by fencing the primary alone, which refuses writes from then on, and promoting the target once it holds all that the primary has. Change: authority::failover; confirmation no longer ends when the primary alone is fenced, since the others still prove it, which lets writes in flight be acknowledged during a planned move. An order to follow acts as a fence: without that an older order which comes late could make a member drop acknowledged entries; the stand-in already does so. Failed try: the property that whatever a session saw and the last primary holds must stay visible. What is promised is that durable writes stay visible; the test says so.

--- a/crates/coordination/src/authority.rs
+++ b/crates/coordination/src/authority.rs
@@ -10,3 +10,4 @@
 //! majority.
 
 pub mod confirm;
+pub mod failover;
--- a/crates/coordination/src/authority/confirm.rs
+++ b/crates/coordination/src/authority/confirm.rs
@@ -3,12 +3,13 @@
 //! A request names the member that ran it and the term in which that member was believed to lead.
 //! After it ran, a round of questions goes to all members. The request is confirmed when
 //!
-//! - the primary itself has answered that it leads the same term and is not fenced above it, and
+//! - the primary itself has answered that it still leads the same term, and
 //! - a majority of the members has answered with no higher term, and
 //! - on a durable route, a majority of them holds the position that the primary answered.
 //!
 //! Fences and logs only grow, so answers of several rounds add up, as long as each round started
-//! after the request had run. One round serves all requests that wait in a group. Requests that
+//! after the request had run. A fence on the primary alone does not stop a confirmation: its log
+//! still holds all that ran there, and no later primary exists without a majority. One round serves all requests that wait in a group. Requests that
 //! finish while a round is in flight join the next one.
 //!
 //! What is not confirmed has an unknown outcome: it may have run and must not run again.
@@ -22,6 +23,7 @@
 //!     Action, Config, Decider, Event, Outcome, Request, Ticket,
 //! };
 //! use filbertbay_coordination::quorum::{Rule, Set};
+//! use filbertbay_coordination::view::Mark;
 //! use filbertbay_state::document::Durability;
 //! use filbertbay_state::position::{Position, Term};
 //! use filbertbay_state::status::{Role, Status};
@@ -45,7 +47,8 @@
 //! let replica = Status { received: position, ..Status::default() };
 //! decider.on_event(now, Event::Answered { round, member: 0, status: primary });
 //! let actions = decider.on_event(now, Event::Answered { round, member: 2, status: replica });
-//! assert_eq!(actions, [Action::Settle(Ticket(1), Outcome::Confirmed(position))]);
+//! let settled = Action::Settle(Ticket(1), Outcome::Confirmed(position));
+//! assert_eq!(actions, [Action::Mark(Mark { asked: now, position }), settled]);
 //! ```
 
 use std::collections::VecDeque;
@@ -57,6 +60,7 @@
 use strum::Display;
 
 use crate::quorum::{Rule, Set};
+use crate::view::Mark;
 
 /// Options of a [`Decider`].
 #[derive(Clone, Copy, Debug)]
@@ -143,6 +147,8 @@
 pub enum Action {
     /// Ask every member for its status; the questions leave now.
     Ask(Round),
+    /// Note a proven position of the primary in the view.
+    Mark(Mark),
     /// Tell the owner of a request what became of it.
     Settle(Ticket, Outcome),
 }
@@ -174,12 +180,18 @@
     primary: usize,
     term: Term,
     first: Round,
+    /// When the questions of the first round left.
+    asked: Instant,
+    /// Whether a mark has been made of the target.
+    is_marked: bool,
     /// Position that the primary answered first after the requests had run.
     target: Option<Position>,
     /// What each member holds that answered without a higher term.
     received: Vec<(usize, Position)>,
     /// Members that answered with a higher term.
     beyond: Set,
+    /// Whether the primary answered that it does not lead the term.
+    is_deposed: bool,
     requests: Vec<Request>,
 }
 
@@ -308,7 +320,7 @@
         self.round.0 += 1;
         self.answered = Set::default();
         self.next_round = Some(now + self.repeat);
-        self.join_round();
+        self.join_round(now);
         actions.push(Action::Ask(self.round));
     }
 
@@ -316,7 +328,7 @@
         self.rule.members().without(self.answered).is_empty()
     }
 
-    fn join_round(&mut self) {
+    fn join_round(&mut self, now: Instant) {
         for request in std::mem::take(&mut self.waiting) {
             let first = self.round;
             let fits = |cohort: &&mut Cohort| {
@@ -326,50 +338,56 @@
             };
             match self.cohorts.iter_mut().rev().find(fits) {
                 Some(cohort) => cohort.requests.push(request),
-                None => self.cohorts.push_back(Cohort::new(first, request)),
+                None => self.cohorts.push_back(Cohort::new(first, now, request)),
             }
         }
     }
 }
 
 impl Cohort {
-    fn new(first: Round, request: Request) -> Self {
+    fn new(first: Round, asked: Instant, request: Request) -> Self {
         Self {
             primary: request.primary,
             term: request.term,
             first,
+            asked,
+            is_marked: false,
             target: None,
             received: Vec::new(),
             beyond: Set::default(),
+            is_deposed: false,
             requests: vec![request],
         }
     }
 
     fn answer(&mut self, member: usize, status: Status) {
-        if !self.is_evidence(member, status) {
+        if member == self.primary {
+            self.answer_of_primary(status);
+        }
+        if status.fenced.max(status.received.term) > self.term {
             self.beyond.insert(member);
             return;
         }
-        if member == self.primary && self.target.is_none() {
-            self.target = Some(status.received);
-        }
         match self.received.iter_mut().find(|(known, _)| *known == member) {
             Some((_, received)) => *received = status.received.max(*received),
             None => self.received.push((member, status.received)),
         }
     }
 
-    /// Tells whether an answer speaks for the primary's term.
-    fn is_evidence(&self, member: usize, status: Status) -> bool {
-        let highest = status.fenced.max(status.received.term);
+    fn answer_of_primary(&mut self, status: Status) {
         let leads = status.role == Role::Primary && status.received.term == self.term;
-        highest <= self.term && (member != self.primary || leads)
+        if !leads {
+            self.is_deposed = true;
+        } else if self.target.is_none() {
+            self.target = Some(status.received);
+        }
     }
 
     fn settle(&mut self, now: Instant, rule: Rule, actions: &mut Vec<Action>) {
-        let superseded = self.beyond.contains(self.primary) || rule.is_blocked_by(self.beyond);
+        let superseded = self.is_deposed || rule.is_blocked_by(self.beyond);
         let confirmed = [Durability::Majority, Durability::Primary]
             .map(|durability| (durability, self.confirmed(durability, rule)));
+        self.mark(confirmed[1].1.filter(|_| !superseded), actions);
         self.requests.retain(|request| {
             let position = confirmed.iter().find(|(d, _)| *d == request.durability);
             let outcome = match position.and_then(|(_, position)| *position) {
@@ -383,6 +401,16 @@
         });
     }
 
+    /// Makes a mark of the target once the primary is proven.
+    fn mark(&mut self, position: Option<Position>, actions: &mut Vec<Action>) {
+        let Some(position) = position.filter(|_| !self.is_marked) else {
+            return;
+        };
+        self.is_marked = true;
+        let asked = self.asked;
+        actions.push(Action::Mark(Mark { asked, position }));
+    }
+
     fn confirmed(&self, durability: Durability, rule: Rule) -> Option<Position> {
         let target = self.target?;
         let holds = |received: Position| match durability {
--- /dev/null
+++ b/crates/coordination/src/authority/failover/evidence.rs
@@ -0,0 +1,107 @@
+//! What the members have answered, and what follows from it.
+
+use std::time::{Duration, Instant};
+
+use filbertbay_state::position::{Position, Term};
+use filbertbay_state::status::{Role, Status};
+
+use crate::quorum::{MAX_MEMBERS, Rule, Set};
+
+/// Last answers of the members of one group.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    answers: Vec<Option<Answer>>,
+    /// Highest term in any answer or proposal.
+    highest: Term,
+}
+
+/// Answer of a member and the moment at which it was asked.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    status: Status,
+    asked: Instant,
+}
+
+impl Evidence {
+    /// Takes an answer unless a later question has been answered already.
+    pub(super) fn observe(&mut self, member: usize, status: Status, asked: Instant) {
+        if member >= MAX_MEMBERS {
+            return;
+        }
+        if self.answers.len() <= member {
+            self.answers.resize(member + 1, None);
+        }
+        let slot = &mut self.answers[member];
+        if slot.is_none_or(|known| known.asked <= asked) {
+            *slot = Some(Answer { status, asked });
+        }
+        self.raise(status.fenced.max(status.received.term));
+    }
+
+    /// Notes a term that has been seen or proposed.
+    pub(super) fn raise(&mut self, term: Term) {
+        self.highest = self.highest.max(term);
+    }
+
+    pub(super) fn highest(&self) -> Term {
+        self.highest
+    }
+
+    pub(super) fn status(&self, member: usize) -> Option<Status> {
+        let answer = self.answers.get(member).copied().flatten();
+        answer.map(|answer| answer.status)
+    }
+
+    pub(super) fn received(&self, member: usize) -> Position {
+        self.status(member).unwrap_or_default().received
+    }
+
+    /// Returns the member that leads the highest term, as far as is known.
+    pub(super) fn leader(&self) -> Option<(usize, Term)> {
+        let leads = |(member, answer): (usize, &Option<Answer>)| {
+            let status = answer.as_ref()?.status;
+            (status.role == Role::Primary).then_some((member, status.received.term))
+        };
+        let leaders = self.answers.iter().enumerate().filter_map(leads);
+        leaders.max_by_key(|(_, term)| *term)
+    }
+
+    /// Returns the members that have answered a question that is at most `limit` old.
+    pub(super) fn recent(&self, now: Instant, limit: Duration) -> Set {
+        let answers = self.answers.iter().enumerate();
+        answers
+            .filter(|(_, answer)| answer.is_some_and(|a| now < a.asked + limit))
+            .map(|(member, _)| member)
+            .collect()
+    }
+
+    /// Tells whether more than half of the members other than `leader` have recently answered
+    /// that they did not hear from their primary for `limit`.
+    pub(super) fn is_unheard(
+        &self,
+        now: Instant,
+        limit: Duration,
+        rule: Rule,
+        leader: Set,
+    ) -> bool {
+        let others = rule.members().without(leader);
+        let recent = self.recent(now, limit);
+        let unheard: Set = others
+            .iter()
+            .filter(|member| recent.contains(*member) && !self.hears(*member, limit))
+            .collect();
+        2 * unheard.len() > others.len()
+    }
+
+    /// Tells whether a replica answered that it heard from its primary within `limit`.
+    pub(super) fn hears(&self, member: usize, limit: Duration) -> bool {
+        let heard = self.status(member).and_then(|status| status.heard);
+        heard.is_some_and(|heard| heard <= limit)
+    }
+
+    /// Returns the highest fence of these members.
+    pub(super) fn fence(&self, members: Set) -> Term {
+        let fences = members.iter().filter_map(|member| self.status(member));
+        fences.map(|status| status.fenced).max().unwrap_or_default()
+    }
+}
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use filbertbay_state::document::Availability;
 use filbertbay_state::position::{Position, Term};
@@ -30,6 +30,9 @@
     pub marks: Vec<Mark>,
 }
 
+/// Marks that a view keeps; of older ones fewer are kept than of recent ones.
+pub const MAX_MARKS: usize = 64;
+
 /// Position that a primary had, proven by a round of questions.
 ///
 /// All that was acknowledged in the group before `asked` lies at or before `position`. A member
@@ -43,6 +46,27 @@
 }
 
 impl Group {
+    /// Adds a mark and thins out the older half when there are too many.
+    ///
+    /// A mark that is older than the last one is dropped.
+    pub fn push_mark(&mut self, mark: Mark) {
+        if self
+            .marks
+            .last()
+            .is_some_and(|last| last.asked >= mark.asked)
+        {
+            return;
+        }
+        self.marks.push(mark);
+        if self.marks.len() > MAX_MARKS {
+            let mut index = 0;
+            self.marks.retain(|_| {
+                index += 1;
+                index > MAX_MARKS / 2 || index % 2 == 0
+            });
+        }
+    }
+
     /// Returns the index of a member by its name.
     pub fn member(&self, name: &str) -> Option<usize> {
         self.members.iter().position(|m| m.name.as_ref() == name)
@@ -62,7 +86,7 @@
     }
 
     /// Returns how old the data of a member can be at `now`, if a mark tells.
-    pub fn age(&self, member: usize, now: Instant) -> Option<std::time::Duration> {
+    pub fn age(&self, member: usize, now: Instant) -> Option<Duration> {
         let applied = self.members.get(member)?.observation?.status.applied;
         let reached = self.marks.iter().rev().find(|m| m.position <= applied)?;
         Some(now.saturating_duration_since(reached.asked))
--- /dev/null
+++ b/crates/coordination/tests/model/mod.rs
@@ -0,0 +1,710 @@
+//! Event queue that drives the deciders of several instances against members of one group.
+//!
+//! Members behave as the endpoint vocabulary says. Messages are lost, late, doubled and crossed;
+//! nodes are cut off, crash and pause; the platform comes and goes.
+
+pub mod member;
+pub mod session;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::{Duration, Instant};
+
+use filbertbay_coordination::authority::{confirm, failover};
+use filbertbay_coordination::quorum::{Rule, Set};
+use filbertbay_coordination::view;
+use filbertbay_state::document::{Availability, Durability};
+use filbertbay_state::position::{Position, Term};
+use filbertbay_state::status::Status;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use member::{Ids, Member};
+use session::Caller;
+
+const POLL: Duration = Duration::from_millis(60);
+const TICK: Duration = Duration::from_millis(10);
+const DEADLINE: Duration = Duration::from_secs(2);
+const POLL_TICKET: u64 = 0;
+
+/// How rough a history is.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub members: usize,
+    pub instances: usize,
+    pub faults: Duration,
+    pub calm: Duration,
+    pub loss: f64,
+}
+
+/// Question or order on its way to a member.
+#[derive(Clone, Copy, Debug)]
+pub enum Call {
+    Status(confirm::Round),
+    Order(failover::Order),
+    Write {
+        id: u64,
+        term: Term,
+        durability: Durability,
+    },
+    Read {
+        caller: usize,
+        floor: Option<Position>,
+    },
+}
+
+/// Answer on its way back.
+#[derive(Clone, Debug)]
+enum Reply {
+    Status(Option<Status>),
+    Wrote(Option<Instant>),
+    Read(Position, Ids),
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Poll(usize),
+    Tick(usize),
+    Replicate(usize),
+    Fault,
+    Write(usize),
+    Step(usize),
+    Call {
+        from: usize,
+        to: usize,
+        sent: Instant,
+        call: Call,
+    },
+    Reply {
+        from: usize,
+        to: usize,
+        sent: Instant,
+        call: Call,
+        reply: Reply,
+    },
+    Platform(usize),
+    Leased(usize, failover::Lease),
+}
+
+/// Entry instance with its deciders.
+pub struct Instance {
+    pub confirm: confirm::Decider,
+    pub failover: failover::Decider,
+    pub view: view::Group,
+    paused_until: Instant,
+    /// What each ticket stands for.
+    tickets: BTreeMap<u64, Ticket>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Ticket {
+    Write {
+        id: u64,
+        ran: Instant,
+        term: Term,
+        durability: Durability,
+    },
+    Floor {
+        caller: usize,
+    },
+}
+
+/// Write that was acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub struct Acknowledged {
+    pub id: u64,
+    pub term: Term,
+    pub position: Position,
+    pub durability: Durability,
+    pub ran: Instant,
+    pub at: Instant,
+}
+
+/// Member that became primary, with the writes in its log at that moment.
+#[derive(Clone, Debug)]
+pub struct Promotion {
+    pub term: Term,
+    pub member: usize,
+    pub at: Instant,
+    pub log: Ids,
+}
+
+/// Group, instances and callers, with all that is under way.
+pub struct World {
+    shape: Shape,
+    pub now: Instant,
+    end_of_faults: Instant,
+    rng: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    events: BTreeMap<u64, Event>,
+    sequence: u64,
+    pub writes: u64,
+    pub members: Vec<Member>,
+    pub instances: Vec<Instance>,
+    pub callers: Vec<Caller>,
+    cut: BTreeSet<(usize, usize)>,
+    is_platform_up: bool,
+    lease: Option<(usize, Instant)>,
+    pub acknowledged: Vec<Acknowledged>,
+    /// Writes that were acknowledged on a durable route.
+    durable: Ids,
+    pub promotions: Vec<Promotion>,
+    pub faults: Vec<String>,
+}
+
+impl World {
+    pub fn new(shape: Shape, seed: u64) -> Self {
+        let now = Instant::now();
+        let setting = failover::Setting::new(Set::first(shape.members));
+        let instance = |rank: usize| Instance {
+            confirm: confirm::Decider::new(confirm::Config::default(), Rule::new(setting.members)),
+            failover: failover::Decider::new(
+                failover::Config::default()
+                    .lost_after(Duration::from_millis(400))
+                    .cut_after(Duration::from_millis(900))
+                    .stagger(Duration::from_millis(100)),
+                failover::Setting {
+                    rank: rank as u32,
+                    ..setting
+                },
+                rank as u64,
+            ),
+            view: view(shape.members),
+            paused_until: now,
+            tickets: BTreeMap::new(),
+        };
+        let mut world = Self {
+            shape,
+            now,
+            end_of_faults: now + shape.faults,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            writes: 0,
+            members: (0..shape.members)
+                .map(|index| Member::new(index, now))
+                .collect(),
+            instances: (0..shape.instances).map(instance).collect(),
+            callers: (0..2 * shape.instances)
+                .map(|c| Caller::new(c % shape.instances))
+                .collect(),
+            cut: BTreeSet::new(),
+            is_platform_up: true,
+            lease: None,
+            acknowledged: Vec::new(),
+            durable: Ids::default(),
+            promotions: vec![Promotion {
+                term: Term(1),
+                member: 0,
+                at: now,
+                log: Ids::default(),
+            }],
+            faults: Vec::new(),
+        };
+        world.start();
+        world
+    }
+
+    fn start(&mut self) {
+        for instance in 0..self.instances.len() {
+            self.after(0..100, Event::Poll(instance));
+            self.after(0..10, Event::Tick(instance));
+            self.after(0..100, Event::Write(instance));
+        }
+        for member in 0..self.members.len() {
+            self.after(0..10, Event::Replicate(member));
+        }
+        for caller in 0..self.callers.len() {
+            self.after(0..100, Event::Step(caller));
+        }
+        self.after(100..1_000, Event::Fault);
+    }
+
+    /// Runs to the end of the history.
+    pub fn run(&mut self) {
+        let end = self.end_of_faults + self.shape.calm;
+        while let Some(Reverse((at, key))) = self.queue.pop() {
+            if at >= end {
+                return;
+            }
+            self.now = at;
+            if let Some(event) = self.events.remove(&key) {
+                self.handle(event);
+            }
+        }
+    }
+
+    pub fn after(&mut self, millis: std::ops::Range<u64>, event: impl Into<EventBox>) {
+        let delay = Duration::from_millis(self.rng.random_range(millis));
+        self.at(self.now + delay, event.into().0);
+    }
+
+    fn at(&mut self, at: Instant, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let owner = match &event {
+            Event::Poll(i) | Event::Tick(i) | Event::Write(i) | Event::Leased(i, _) => Some(*i),
+            Event::Reply { to, .. } => Some(*to),
+            _ => None,
+        };
+        // A paused instance sees its messages when it wakes.
+        if let Some(until) = owner
+            .map(|i| self.instances[i].paused_until)
+            .filter(|u| *u > self.now)
+        {
+            self.at(until, event);
+            return;
+        }
+        match event {
+            Event::Poll(instance) => self.poll(instance),
+            Event::Tick(instance) => self.tick(instance),
+            Event::Replicate(member) => self.replicate(member),
+            Event::Fault => self.fault(),
+            Event::Write(instance) => self.write(instance),
+            Event::Step(caller) => self.step(caller),
+            Event::Call {
+                from,
+                to,
+                sent,
+                call,
+            } => self.answer(from, to, sent, call),
+            Event::Reply {
+                from,
+                to,
+                sent,
+                call,
+                reply,
+            } => self.take(from, to, sent, call, reply),
+            Event::Platform(instance) => self.grant(instance),
+            Event::Leased(instance, lease) => {
+                self.failover(instance, failover::Event::Leased(lease));
+            }
+        }
+    }
+
+    fn poll(&mut self, instance: usize) {
+        self.at(self.now + POLL, Event::Poll(instance));
+        self.finish(instance, POLL_TICKET, None, Durability::Primary);
+    }
+
+    /// Lets a round prove who leads; `sent` is the leader and term when the work was sent.
+    pub fn finish(
+        &mut self,
+        instance: usize,
+        ticket: u64,
+        sent: Option<(usize, Term)>,
+        durability: Durability,
+    ) {
+        let leader = sent.or(self.instances[instance].failover.leader());
+        let (primary, term) = leader.unwrap_or((0, Term(0)));
+        let request = confirm::Request {
+            ticket: confirm::Ticket(ticket),
+            primary,
+            term,
+            durability,
+            deadline: self.now + DEADLINE,
+        };
+        self.confirm(instance, confirm::Event::Finished(request));
+    }
+
+    fn tick(&mut self, instance: usize) {
+        self.at(self.now + TICK, Event::Tick(instance));
+        self.confirm(instance, confirm::Event::Elapsed);
+        self.failover(instance, failover::Event::Elapsed);
+    }
+
+    fn confirm(&mut self, instance: usize, event: confirm::Event) {
+        let actions = self.instances[instance].confirm.on_event(self.now, event);
+        for action in actions {
+            match action {
+                confirm::Action::Ask(round) => self.ask_all(instance, round),
+                confirm::Action::Mark(mark) => self.instances[instance].view.push_mark(mark),
+                confirm::Action::Settle(ticket, outcome) => self.settle(instance, ticket, outcome),
+            }
+        }
+    }
+
+    fn ask_all(&mut self, instance: usize, round: confirm::Round) {
+        for member in 0..self.members.len() {
+            self.send(instance, member, Call::Status(round));
+        }
+    }
+
+    fn failover(&mut self, instance: usize, event: failover::Event) {
+        let actions = self.instances[instance].failover.on_event(self.now, event);
+        for action in actions {
+            match action {
+                failover::Action::Lease => self.after(1..20, Event::Platform(instance)),
+                failover::Action::Release => self.lease = self.lease.filter(|l| l.0 != instance),
+                failover::Action::Poll => {
+                    self.finish(instance, POLL_TICKET, None, Durability::Primary);
+                }
+                failover::Action::Order(member, order) => {
+                    self.send(instance, member, Call::Order(order));
+                }
+            }
+        }
+        let leader = self.instances[instance].failover.leader();
+        let view = &mut self.instances[instance].view;
+        view.primary = leader.map(|(member, _)| member);
+        view.term = leader.map_or(Term(0), |(_, term)| term);
+    }
+
+    fn grant(&mut self, instance: usize) {
+        let answer = match self.lease {
+            _ if !self.is_platform_up => failover::Lease::Unanswered,
+            Some((holder, until)) if holder != instance && until > self.now => {
+                failover::Lease::Held
+            }
+            _ => failover::Lease::Granted,
+        };
+        if answer == failover::Lease::Granted {
+            self.lease = Some((instance, self.now + Duration::from_secs(1)));
+        }
+        // The answer may be lost after the lease was taken.
+        if !self.is_lost() {
+            self.after(1..20, Event::Leased(instance, answer));
+        }
+    }
+
+    fn write(&mut self, instance: usize) {
+        self.after(20..200, Event::Write(instance));
+        let Some((member, term)) = self.instances[instance].failover.leader() else {
+            return;
+        };
+        self.writes += 1;
+        let durability = if self.rng.random_bool(0.7) {
+            Durability::Majority
+        } else {
+            Durability::Primary
+        };
+        let write = Call::Write {
+            id: self.writes,
+            term,
+            durability,
+        };
+        self.send(instance, member, write);
+    }
+
+    /// Sends a message to a member; it may be lost, late or doubled.
+    pub fn send(&mut self, from: usize, to: usize, call: Call) {
+        let event = Event::Call {
+            from,
+            to,
+            sent: self.now,
+            call,
+        };
+        self.transmit(&event);
+    }
+
+    fn transmit(&mut self, event: &Event) {
+        let copies = if self.rng.random_bool(0.02) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.is_lost() {
+                continue;
+            }
+            let is_late = self.rng.random_bool(0.02);
+            let range = if is_late { 200..4_000 } else { 1..25 };
+            self.after(range, event.clone());
+        }
+    }
+
+    fn is_lost(&mut self) -> bool {
+        let loss = if self.now < self.end_of_faults {
+            self.shape.loss
+        } else {
+            0.0
+        };
+        self.rng.random_bool(loss)
+    }
+
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    fn instance_node(&self, instance: usize) -> usize {
+        self.members.len() + instance
+    }
+
+    fn answer(&mut self, from: usize, to: usize, sent: Instant, call: Call) {
+        if self.is_cut(self.instance_node(from), to) || !self.members[to].is_up {
+            return;
+        }
+        let now = self.now;
+        let member = &mut self.members[to];
+        let reply = match call {
+            Call::Status(_) => Reply::Status(Some(member.status(now))),
+            Call::Order(order) => {
+                let taken = member.order(order);
+                if let failover::Order::Promote(term) = order
+                    && taken
+                {
+                    let log = self.members[to].ids();
+                    self.promotions.push(Promotion {
+                        term,
+                        member: to,
+                        at: now,
+                        log,
+                    });
+                }
+                Reply::Status(taken.then(|| self.members[to].status(now)))
+            }
+            Call::Write { id, .. } => Reply::Wrote(member.write(id).then_some(now)),
+            Call::Read { .. } => Reply::Read(member.applied(), member.visible()),
+        };
+        self.transmit(&Event::Reply {
+            from: to,
+            to: from,
+            sent,
+            call,
+            reply,
+        });
+    }
+
+    fn take(&mut self, from: usize, to: usize, sent: Instant, call: Call, reply: Reply) {
+        if self.is_cut(self.instance_node(to), from) {
+            return;
+        }
+        match (call, reply) {
+            (Call::Status(round), Reply::Status(Some(status))) => {
+                self.observe(to, from, sent, status);
+                self.confirm(
+                    to,
+                    confirm::Event::Answered {
+                        round,
+                        member: from,
+                        status,
+                    },
+                );
+            }
+            (Call::Order(order), Reply::Status(status)) => {
+                let answer = status.map_or(failover::Answer::Refused, failover::Answer::Accepted);
+                self.failover(to, failover::Event::Answered(from, order, answer));
+            }
+            (
+                Call::Write {
+                    id,
+                    term,
+                    durability,
+                },
+                Reply::Wrote(Some(ran)),
+            ) => {
+                let known = self.instances[to].tickets.values();
+                if known
+                    .into_iter()
+                    .any(|t| matches!(t, Ticket::Write { id: i, .. } if *i == id))
+                {
+                    return;
+                }
+                let ticket = Ticket::Write {
+                    id,
+                    ran,
+                    term,
+                    durability,
+                };
+                let ticket = self.ticket(to, ticket);
+                self.finish(to, ticket, Some((from, term)), durability);
+            }
+            (Call::Read { caller, floor }, Reply::Read(position, seen)) => {
+                self.saw(caller, to, from, sent, floor, position, &seen);
+            }
+            _ => {}
+        }
+    }
+
+    fn ticket(&mut self, instance: usize, ticket: Ticket) -> u64 {
+        self.sequence += 1;
+        self.instances[instance]
+            .tickets
+            .insert(self.sequence, ticket);
+        self.sequence
+    }
+
+    /// Starts a round that gives a caller its floor.
+    pub fn ask_floor(&mut self, caller: usize, instance: usize) {
+        let ticket = self.ticket(instance, Ticket::Floor { caller });
+        self.finish(instance, ticket, None, Durability::Primary);
+    }
+
+    fn observe(&mut self, instance: usize, member: usize, asked: Instant, status: Status) {
+        let event = failover::Event::Observed {
+            member,
+            status,
+            asked,
+        };
+        self.failover(instance, event);
+        let slot = &mut self.instances[instance].view.members[member].observation;
+        if slot.is_none_or(|known| known.asked <= asked) {
+            *slot = Some(view::Observation { status, asked });
+        }
+    }
+
+    fn settle(&mut self, instance: usize, ticket: confirm::Ticket, outcome: confirm::Outcome) {
+        let ticket = self.instances[instance].tickets.get(&ticket.0).copied();
+        let position = match outcome {
+            confirm::Outcome::Confirmed(position) => Some(position),
+            confirm::Outcome::Unknown(_) => None,
+        };
+        match (ticket, position) {
+            (
+                Some(Ticket::Write {
+                    id,
+                    ran,
+                    term,
+                    durability,
+                }),
+                Some(position),
+            ) => {
+                let at = self.now;
+                let write = Acknowledged {
+                    id,
+                    term,
+                    position,
+                    durability,
+                    ran,
+                    at,
+                };
+                self.acknowledged.push(write);
+                if durability == Durability::Majority {
+                    self.durable.insert(id);
+                }
+                self.wrote(id, Some(write));
+            }
+            (Some(Ticket::Write { id, .. }), None) => self.wrote(id, None),
+            (Some(Ticket::Floor { caller }), position) => self.floor(caller, instance, position),
+            (None, _) => {}
+        }
+    }
+
+    fn replicate(&mut self, index: usize) {
+        self.after(2..12, Event::Replicate(index));
+        let Some(upstream) = self.members[index].upstream else {
+            return;
+        };
+        let is_up = self.members[index].is_up && self.members[upstream].is_up;
+        if is_up && !self.is_cut(index, upstream) {
+            let primary = self.members[upstream].clone();
+            let entries = self.rng.random_range(1..20);
+            self.members[index].pull(&primary, entries, self.now);
+        }
+    }
+
+    fn fault(&mut self) {
+        if self.now + Duration::from_secs(1) >= self.end_of_faults {
+            self.heal();
+            return;
+        }
+        self.after(200..1_400, Event::Fault);
+        let nodes = self.members.len() + self.instances.len();
+        let node = self.rng.random_range(0..nodes);
+        let member = self.victim();
+        let instance = self.rng.random_range(0..self.instances.len());
+        match self.rng.random_range(0..10) {
+            0 => self
+                .cut
+                .extend((0..nodes).map(|other| (node.min(other), node.max(other)))),
+            1 => drop(self.cut.insert((node.min(member), node.max(member)))),
+            2 => self.members[member].is_up = false,
+            3 => {
+                let pause = Duration::from_millis(self.rng.random_range(200..4_000));
+                self.instances[instance].paused_until = self.now + pause;
+            }
+            4 => self.is_platform_up = !self.is_platform_up,
+            5 => self.configure(),
+            6 => self
+                .cut
+                .extend((0..self.members.len()).map(|m| (m.min(member), m.max(member)))),
+            _ => {
+                self.cut.clear();
+                self.members
+                    .iter_mut()
+                    .for_each(|member| member.is_up = true);
+            }
+        }
+    }
+
+    /// Returns a member to suffer the next fault, often one that believes that it leads.
+    fn victim(&mut self) -> usize {
+        let any = self.rng.random_range(0..self.members.len());
+        let leads = |member: &usize| self.members[*member].leads();
+        let leaders: Vec<usize> = (0..self.members.len()).filter(leads).collect();
+        if leaders.is_empty() || self.rng.random_bool(0.3) {
+            return any;
+        }
+        leaders[any % leaders.len()]
+    }
+
+    /// Takes a member out, or prefers one, on some of the instances at first.
+    fn configure(&mut self) {
+        let members = self.members.len();
+        let out = self.rng.random_range(0..members);
+        let preferred = self.rng.random_range(0..members);
+        let set = failover::Setting {
+            out: [out].into_iter().collect(),
+            preferred: self.rng.random_bool(0.5).then_some(preferred),
+            ..failover::Setting::new(Set::first(members))
+        };
+        for instance in 0..self.instances.len() {
+            if self.rng.random_bool(0.8) {
+                let setting = failover::Setting {
+                    rank: instance as u32,
+                    ..set
+                };
+                self.failover(instance, failover::Event::Configured(setting));
+            }
+        }
+    }
+
+    fn heal(&mut self) {
+        self.cut.clear();
+        self.is_platform_up = true;
+        self.members
+            .iter_mut()
+            .for_each(|member| member.is_up = true);
+        let setting = failover::Setting::new(Set::first(self.members.len()));
+        for instance in 0..self.instances.len() {
+            let setting = failover::Setting {
+                rank: instance as u32,
+                ..setting
+            };
+            self.failover(instance, failover::Event::Configured(setting));
+        }
+    }
+}
+
+/// Event that other modules of the model may schedule.
+pub struct EventBox(Event);
+
+impl From<Event> for EventBox {
+    fn from(event: Event) -> Self {
+        Self(event)
+    }
+}
+
+/// Returns the event of a caller's next step.
+pub fn step(caller: usize) -> EventBox {
+    EventBox(Event::Step(caller))
+}
+
+fn view(members: usize) -> view::Group {
+    let member = |index: usize| view::Member {
+        name: format!("member-{index}").into(),
+        data_centre: format!("centre-{index}").into(),
+        address: ([127, 0, 0, 1], 5_432).into(),
+        availability: Availability::In,
+        observation: None,
+    };
+    view::Group {
+        name: "orders".into(),
+        term: Term(0),
+        primary: None,
+        members: (0..members).map(member).collect(),
+        is_moving: false,
+        marks: Vec::new(),
+    }
+}
--- a/crates/protocol/src/endpoint.rs
+++ b/crates/protocol/src/endpoint.rs
@@ -15,6 +15,7 @@
 //! - A promotion is accepted if its term is higher than the member's own term and not lower than
 //!   the fence. The member applies all that it received and writes a marker of the new term.
 //! - An order to follow is accepted if its term is not lower than the fence.
+//!   It acts as a fence of its term, so that an older order which comes late is refused.
 //! - A refused order answers SQLSTATE 55000 and changes nothing.
 //!
 //! A row has the columns `received_term`, `received_index`, `applied_term`, `applied_index`,
