Take the marks of confirmation rounds in steering

Ruled out: publishing them from here; the polls of the group note marks already. Change: the action is passed over.

--- a/crates/filbertbay/src/steering.rs
+++ b/crates/filbertbay/src/steering.rs
@@ -254,6 +254,8 @@
             for action in std::mem::take(&mut actions) {
                 match action {
                     Action::Settle(_, outcome) => return outcome,
+                    // The polls of the group note their own marks.
+                    Action::Mark(_) => {}
                     Action::Ask(round) => {
                         for (index, member) in view.members.iter().enumerate() {
                             let endpoint = self.endpoint(&view.name, member);
