--- a/crates/filbertctl/src/operator.rs
+++ b/crates/filbertctl/src/operator.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
 use filbertbay_protocol::platform::Store;
@@ -20,6 +20,9 @@
 /// Address of the platform where none is given.
 const DEFAULT_PLATFORM: &str = "http://127.0.0.1:8500";
 
+/// End of the year 9999, in milliseconds since 1970; later moments have no RFC 3339 form.
+const LAST_SHOWN_MS: u64 = 253_402_300_799_000;
+
 /// Where the platform is, and how to print.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(target))]
@@ -172,8 +175,14 @@
 /// Returns one audit entry as text.
 pub fn show_entry(entry: &audit::Entry) -> String {
     let mut text = format!(
-        "{} {} -> {} by {} ({}), patch {}",
-        entry.outcome, entry.from, entry.to, entry.author, entry.reason, entry.patch
+        "{} {} {} -> {} by {} ({}), patch {}",
+        show_time(entry.at),
+        entry.outcome,
+        entry.from,
+        entry.to,
+        entry.author,
+        entry.reason,
+        entry.patch
     );
     if let Some(refusal) = &entry.refusal {
         let _ = write!(text, "\n  {refusal}");
@@ -187,6 +196,15 @@
     text
 }
 
+/// Returns a moment in milliseconds since 1970 as text, in UTC.
+fn show_time(at: u64) -> String {
+    if at > LAST_SHOWN_MS {
+        return at.to_string();
+    }
+    let moment = UNIX_EPOCH + Duration::from_millis(at);
+    humantime::format_rfc3339_seconds(moment).to_string()
+}
+
 /// Returns one change as text.
 pub fn show_change(change: &audit::Change) -> String {
     match (&change.before, &change.after) {
@@ -198,8 +216,12 @@
 }
 
 fn show_receipt(receipt: &Receipt) -> String {
-    let resolved = if receipt.resolved { "had been " } else { "" };
-    format!("{resolved}{}", show_entry(&receipt.entry))
+    let earlier = if receipt.resolved {
+        "applied by an earlier submission\n"
+    } else {
+        ""
+    };
+    format!("{earlier}{}", show_entry(&receipt.entry))
 }
 
 fn into_failure(error: Error) -> Failure {
