--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! the server of control links. It talks to traffic only through [`Published`].
 
 pub mod configuration;
+pub mod group;
 pub mod membership;
 mod roster;
 mod service;
@@ -51,6 +52,7 @@
 /// Running control thread; it ends when the handle is dropped.
 #[derive(Debug)]
 pub struct Control {
+    runtime: tokio::runtime::Handle,
     leave: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -67,6 +69,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
+        let handle = runtime.handle().clone();
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
@@ -76,11 +79,17 @@
             .await
             .map_err(|_| io::Error::other("control thread ended"))??;
         Ok(Self {
+            runtime: handle,
             leave: Some(leave),
             thread: Some(thread),
         })
     }
 
+    /// Returns the runtime of the control thread, for further actors.
+    pub fn runtime(&self) -> &tokio::runtime::Handle {
+        &self.runtime
+    }
+
     /// Tells others that this instance leaves, then ends the control thread.
     pub async fn shutdown(mut self) {
         if let Some(leave) = self.leave.take() {
