--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -20,6 +20,7 @@
 
 use crate::caller::guard::Phase;
 use crate::caller::{self, Shared};
+use crate::control::group::{self, Credentials, Directory};
 use crate::control::{self, Control};
 use crate::metric;
 use crate::pool::{self, Pool};
@@ -74,12 +75,11 @@
     let instance = announce(&settings, listener.local_addr()?).await?;
     let published = Arc::new(Published::new(instance.clone()));
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
-    let control = Control::spawn(control_parts(&settings, &published, &log)?).await?;
-    let steering = Steering::spawn(
-        Arc::clone(&published),
-        Arc::clone(&settings.endpoint_user),
-        Arc::clone(&settings.endpoint_password),
-    );
+    let parts = control_parts(&settings, &published, &log)?;
+    let group_parts = group_parts(&settings, &parts);
+    let control = Control::spawn(parts).await?;
+    let directory = Directory::spawn(&control, group_parts);
+    let steering = Steering::spawn(Arc::clone(&published), directory);
     let shared = shared(&settings, &steering, phase_receiver.clone(), &log)?;
     let metrics = metric::spawn(metrics, phase_receiver)?;
     let callers = caller::spawn(shared, listener, settings.max_callers)?;
@@ -138,6 +138,19 @@
     })
 }
 
+fn group_parts(settings: &Settings, parts: &control::Parts) -> group::Parts {
+    group::Parts {
+        credentials: Credentials {
+            application: Arc::clone(&settings.name),
+            user: Arc::clone(&settings.endpoint_user),
+            password: Arc::clone(&settings.endpoint_password),
+        },
+        store: Arc::clone(&parts.store),
+        published: Arc::clone(&parts.published),
+        log: parts.log.clone(),
+    }
+}
+
 fn shared(
     settings: &Settings,
     steering: &Arc<Steering>,
