--- a/crates/filbertbay/src/control/group/directory.rs
+++ b/crates/filbertbay/src/control/group/directory.rs
@@ -11,13 +11,13 @@
 use filbertbay_state::id;
 use filbertbay_state::snapshot::Snapshot;
 use filbertbay_transport::endpoint::{Control, Target};
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 use xtra::Address;
 
 use super::{Configured, Confirm, Group, Parts};
 use crate::caller::policy::Finished;
-use crate::control;
 
 /// Longest wait for a member's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -80,12 +80,12 @@
         proof.ok().flatten().unwrap_or(unknown)
     }
 
-    /// Spawns an actor for each group of the configuration on the control thread.
+    /// Spawns an actor for each group of the configuration on a runtime.
     ///
-    /// The actors end with that thread.
-    pub fn spawn(control: &control::Control, parts: Parts) -> Arc<Self> {
+    /// They end with that runtime.
+    pub fn spawn(runtime: &Handle, parts: Parts) -> Arc<Self> {
         let directory = Arc::new(Self::default());
-        control.runtime().spawn(Arc::clone(&directory).run(parts));
+        runtime.spawn(Arc::clone(&directory).run(parts));
         directory
     }
 
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -78,7 +78,7 @@
     let parts = control_parts(&settings, &published, &log)?;
     let group_parts = group_parts(&settings, &parts);
     let control = Control::spawn(parts).await?;
-    let directory = Directory::spawn(&control, group_parts);
+    let directory = Directory::spawn(control.runtime(), group_parts);
     let steering = Steering::spawn(Arc::clone(&published), directory);
     let shared = shared(&settings, &steering, phase_receiver.clone(), &log)?;
     let metrics = metric::spawn(metrics, phase_receiver)?;
