Add seats: parts of a member's connections that one instance holds at a time

Eight or nine instances must never open more connections to a member than it accepts, also while they disagree about who lives.

Ruled out: allotments computed from membership (two instances that disagree both take the share of a third); allotments in the platform (a call for each change and member, and nothing moves while the platform is down). The member's own advisory locks arbitrate.

Change: coordination::seat, a pure decider.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod quorum;
 pub mod rendezvous;
 pub mod replica;
+pub mod seat;
 pub mod session;
 pub mod share;
 pub mod spread;
