--- a/crates/coordination/src/seat.rs
+++ b/crates/coordination/src/seat.rs
@@ -183,6 +183,11 @@
         self.state == State::Open
     }
 
+    /// Returns whether neither a lock is held nor a request for one is under way.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self.state, State::Waiting(_))
+    }
+
     /// Takes an event and returns what follows from it.
     pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Action> {
         match (self.state, event) {
--- a/crates/filbertbay/src/caller.rs
+++ b/crates/filbertbay/src/caller.rs
@@ -19,6 +19,7 @@
 
 use filbertbay_coordination::replica;
 use filbertbay_protocol::token::Signer;
+use filbertbay_state::key::Digest;
 use filbertbay_transport::tls;
 use metrics::{counter, gauge};
 use slog::{Logger, debug, warn};
@@ -30,7 +31,7 @@
 use self::answer::{Refusal, State};
 use self::guard::Phase;
 use self::policy::Policy;
-use self::startup::Failure;
+use self::startup::{Door, Failure};
 use crate::pool::Pool;
 
 /// Wait after the listener has failed, such as for want of file descriptors.
@@ -56,6 +57,8 @@
     pub registry: Arc<cancel::Registry>,
     /// Time from a caller's connection to the end of its startup.
     pub startup_timeout: Duration,
+    /// Digest of the password that other instances present.
+    pub peer_secret: Digest,
     /// TLS towards callers.
     pub tls: Option<tls::Identity>,
     /// Phase of the instance.
@@ -73,13 +76,14 @@
     accepting: tokio::task::JoinHandle<()>,
 }
 
-/// Starts to accept callers.
+/// Starts to accept callers, or other instances on a listener of their own.
 ///
 /// # Errors
 ///
 /// Returns an error if the listener has no address.
 pub fn spawn(
     shared: Arc<Shared>,
+    door: Door,
     listener: TcpListener,
     max_callers: usize,
 ) -> std::io::Result<Handle> {
@@ -88,7 +92,7 @@
         .unwrap_or(u32::MAX)
         .min(Semaphore::MAX_PERMITS as u32);
     let places = Arc::new(Semaphore::new(max_callers as usize));
-    let accepting = tokio::spawn(accept(shared, listener, Arc::clone(&places)));
+    let accepting = tokio::spawn(accept(shared, door, listener, Arc::clone(&places)));
     Ok(Handle {
         address,
         places,
@@ -120,7 +124,7 @@
     }
 }
 
-async fn accept(shared: Arc<Shared>, listener: TcpListener, places: Arc<Semaphore>) {
+async fn accept(shared: Arc<Shared>, door: Door, listener: TcpListener, places: Arc<Semaphore>) {
     loop {
         let (socket, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -132,7 +136,7 @@
         };
         let shared = Arc::clone(&shared);
         match Arc::clone(&places).try_acquire_owned() {
-            Ok(place) => drop(tokio::spawn(serve(shared, socket, peer, place))),
+            Ok(place) => drop(tokio::spawn(serve(shared, door, socket, peer, place))),
             Err(_) => drop(tokio::spawn(turn_away(socket))),
         }
     }
@@ -140,12 +144,14 @@
 
 async fn serve(
     shared: Arc<Shared>,
+    door: Door,
     socket: TcpStream,
     peer: SocketAddr,
     _place: OwnedSemaphorePermit,
 ) {
-    gauge!("filbertbay_callers").increment(1.0);
-    match timeout(shared.startup_timeout, startup::open(&shared, socket)).await {
+    let callers = gauge!("filbertbay_callers", "door" => door.as_ref().to_owned());
+    callers.increment(1.0);
+    match timeout(shared.startup_timeout, startup::open(&shared, door, socket)).await {
         Ok(Ok(Some(session))) => session.run().await,
         Ok(Ok(None)) => {}
         Ok(Err(Failure::Refused(mut stream, refusal))) => {
@@ -159,7 +165,7 @@
             debug!(shared.log, "startup not finished"; "peer" => %peer);
         }
     }
-    gauge!("filbertbay_callers").decrement(1.0);
+    callers.decrement(1.0);
 }
 
 /// Tells a caller that the instance is full.
--- a/crates/filbertbay/src/caller/guard.rs
+++ b/crates/filbertbay/src/caller/guard.rs
@@ -61,7 +61,7 @@
 pub struct Guard {
     policy: Arc<dyn Policy>,
     data_centre: Arc<str>,
-    identity: Identity,
+    identity: Option<Identity>,
     changes: watch::Receiver<Snapshot>,
     phase: watch::Receiver<Phase>,
     snapshot: Snapshot,
@@ -70,11 +70,11 @@
 }
 
 impl Guard {
-    /// Starts to watch over a session.
+    /// Starts to watch over a session; one of another instance has no identity.
     pub fn new(
         policy: Arc<dyn Policy>,
         data_centre: Arc<str>,
-        identity: Identity,
+        identity: Option<Identity>,
         phase: watch::Receiver<Phase>,
         now: Instant,
     ) -> Self {
@@ -96,9 +96,9 @@
         guard
     }
 
-    /// Returns the identity of the caller.
-    pub fn identity(&self) -> &Identity {
-        &self.identity
+    /// Returns the identity of the caller; none for another instance.
+    pub fn identity(&self) -> Option<&Identity> {
+        self.identity.as_ref()
     }
 
     /// Returns the configuration that the session follows, and its place in it.
@@ -133,10 +133,13 @@
         self.changes.mark_unchanged();
         let phase = *self.phase.borrow_and_update();
         self.snapshot = self.policy.snapshot();
-        self.place = locate(&self.snapshot, &self.identity);
+        self.place = self
+            .identity
+            .as_ref()
+            .and_then(|who| locate(&self.snapshot, who));
         let refusal = self.refusal(phase);
         let limit = match phase {
-            Phase::Draining(limit) if self.place.is_some() => limit,
+            Phase::Draining(limit) if self.has_right() => limit,
             _ => now + GRACE,
         };
         self.end = match (refusal, self.end.take()) {
@@ -149,15 +152,20 @@
         };
     }
 
+    /// Returns whether the caller may go on; another instance always may.
+    fn has_right(&self) -> bool {
+        self.identity.is_none() || self.place.is_some()
+    }
+
     fn refusal(&self, phase: Phase) -> Option<Refusal> {
         let centre = self.snapshot.data_centre(&self.data_centre);
         let is_out = centre.is_some_and(|id| self.snapshot[id].availability == Availability::Out);
-        if self.place.is_none() {
+        if !self.has_right() {
             Some(Refusal::new(
                 State::Withdrawn,
                 "the key or the route was withdrawn",
             ))
-        } else if is_out {
+        } else if is_out && self.identity.is_some() {
             Some(Refusal::new(
                 State::Leaving,
                 "the data centre is taken out; connect again",
--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -31,6 +31,9 @@
 /// Runs of a read before its failure is told to the caller.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Longest run of a statement for another instance, which cancels it much earlier itself.
+const PEER_STATEMENT_LIMIT: Duration = Duration::from_secs(3_600);
+
 /// Time that a caller has to take the last message of its session.
 const FAREWELL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -38,6 +41,7 @@
 #[derive(Debug)]
 pub struct Session {
     shared: Arc<Shared>,
+    purpose: Purpose,
     caller: Caller,
     guard: Guard,
     registration: cancel::Registration,
@@ -49,9 +53,26 @@
     transaction: Transaction,
 }
 
+/// Whom a session serves.
+#[derive(Clone, Debug, Default)]
+pub enum Purpose {
+    /// A caller.
+    #[default]
+    Caller,
+    /// Another instance, which has decided already, with a connection to one member.
+    Peer {
+        /// Group of the member.
+        group: Arc<str>,
+        /// Name of the member.
+        member: Arc<str>,
+    },
+}
+
 /// What a session brings from its startup.
 #[derive(Debug, Default)]
 pub struct Start {
+    /// Whom the session serves.
+    pub purpose: Purpose,
     /// What the session has seen elsewhere.
     pub consistency: Consistency,
     /// Age that the session's reads accept.
@@ -115,6 +136,7 @@
     ) -> Self {
         Self {
             shared,
+            purpose: start.purpose,
             caller,
             guard,
             registration,
@@ -214,6 +236,9 @@
         if self.guard.end().is_some() && matches!(self.transaction, Transaction::Idle) {
             return Err(self.farewell());
         }
+        if self.is_peer() && !work.is_blank() {
+            return self.run_on_endpoint(&work).await;
+        }
         if let Some(reason) = work.refusal() {
             return self
                 .refuse(&work, &Refusal::not_run(State::Unsupported, reason))
@@ -231,6 +256,10 @@
         self.run_on_endpoint(&work).await
     }
 
+    fn is_peer(&self) -> bool {
+        matches!(self.purpose, Purpose::Peer { .. })
+    }
+
     async fn admit(&self, work: &Work) -> Result<(), Refusal> {
         let cost = work.charge();
         let Some((snapshot, place)) = self.guard.place().filter(|_| cost > 0) else {
@@ -284,6 +313,7 @@
     /// Relays work on an endpoint connection.
     async fn relay(&mut self, mut open: Box<Open>, work: &Work, fresh: bool) -> (End, Box<Open>) {
         let deadline = Instant::now() + self.statement_limit();
+        let is_peer = self.is_peer();
         let connection = open.lease.connection();
         self.registration
             .start(connection.endpoint.cancel_key().clone())
@@ -296,6 +326,8 @@
             deadline,
         );
         relay.hold = match open.target.is_primary {
+            // Another instance keeps back itself what must be kept back.
+            _ if is_peer => Hold::Nothing,
             true if !work.is_read() || !fresh => Hold::Changes,
             false if fresh => Hold::Start,
             _ => Hold::Nothing,
@@ -314,7 +346,7 @@
         let limit = self.guard.place().map(|(snapshot, place)| {
             Duration::from_millis(snapshot[place.route].settings.statement_ms)
         });
-        limit.unwrap_or_default()
+        limit.unwrap_or(PEER_STATEMENT_LIMIT)
     }
 
     async fn finish(&mut self, end: End, open: Box<Open>, work: &Work) -> Result<(), Close> {
@@ -407,7 +439,10 @@
     }
 
     async fn announce_token(&mut self) -> Result<(), Close> {
-        let workspace = &self.guard.identity().workspace;
+        let Some(identity) = self.guard.identity() else {
+            return Ok(());
+        };
+        let workspace = &identity.workspace;
         let token = self
             .shared
             .signer
--- a/crates/filbertbay/src/caller/session/place.rs
+++ b/crates/filbertbay/src/caller/session/place.rs
@@ -11,12 +11,15 @@
 
 use super::super::answer::{Refusal, State};
 use super::super::work::Work;
-use super::{Open, Session};
+use super::{Open, Purpose, Session};
 use crate::pool;
 
 /// Wait before the view of a group is looked at again.
 const REPEAT: Duration = Duration::from_millis(2);
 
+/// Longest wait for a connection for another instance.
+const PEER_QUEUE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Member on which work runs.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -51,6 +54,9 @@
         work: &Work,
         avoided: &[usize],
     ) -> Result<Box<Open>, Refusal> {
+        if let Purpose::Peer { group, member } = &self.purpose {
+            return self.place_for_peer(group, member).await;
+        }
         let mut search = self.search(work, avoided)?;
         loop {
             let Some(view) = self.view(&search) else {
@@ -84,15 +90,34 @@
                 Err(pool::ErrorKind::Unreachable) if Instant::now() < search.deadline => {
                     sleep(REPEAT).await;
                 }
-                Err(pool::ErrorKind::Busy) => {
-                    let message = "every connection to the endpoint was in use";
-                    return Err(Refusal::not_run(State::TooMany, message));
-                }
-                Err(_) => return Err(unavailable("the endpoint can't be reached")),
+                Err(kind) => return Err(refusal(kind)),
             }
         }
     }
 
+    /// Leases a connection of this instance's own for another instance.
+    async fn place_for_peer(&self, group: &str, member: &str) -> Result<Box<Open>, Refusal> {
+        let view = self.shared.policy.group(group);
+        let view = view.ok_or_else(|| unavailable("the group is not known yet"))?;
+        let member = view
+            .member(member)
+            .ok_or_else(|| unavailable("the member is not known"))?;
+        let deadline = Instant::now() + PEER_QUEUE_LIMIT;
+        let taken = self
+            .shared
+            .pool
+            .take_for_peer(&view, member, deadline)
+            .await;
+        let lease = taken.map_err(|error| refusal(error.kind()))?;
+        // The other instance decides what the member is; here its work counts as a change.
+        let target = Target {
+            group: view,
+            member,
+            is_primary: true,
+        };
+        Ok(Open::new(lease, target))
+    }
+
     fn search(&self, work: &Work, avoided: &[usize]) -> Result<Search, Refusal> {
         let (snapshot, place) = self
             .guard
@@ -164,14 +189,31 @@
             .take(&target.group, target.member, search.deadline)
             .await;
         let lease = taken.map_err(|error| error.kind())?;
-        Ok(Box::new(Open {
+        Ok(Open::new(lease, target))
+    }
+}
+
+impl Open {
+    fn new(lease: pool::Lease, target: Target) -> Box<Self> {
+        Box::new(Self {
             lease,
             target,
             status: status::IDLE,
             changed: false,
             is_unsynced: false,
             is_cancelled: false,
-        }))
+        })
+    }
+}
+
+/// Returns what a caller is told when no connection could be leased.
+fn refusal(kind: pool::ErrorKind) -> Refusal {
+    match kind {
+        pool::ErrorKind::Busy => {
+            let message = "every connection to the endpoint was in use";
+            Refusal::not_run(State::TooMany, message)
+        }
+        _ => unavailable("the endpoint can't be reached"),
     }
 }
 
--- a/crates/filbertbay/src/caller/startup.rs
+++ b/crates/filbertbay/src/caller/startup.rs
@@ -5,7 +5,9 @@
 
 use bytes::{Buf, BytesMut};
 use filbertbay_protocol::sql;
+use filbertbay_state::key::Digest;
 use filbertbay_state::snapshot::Snapshot;
+use filbertbay_transport::endpoint::MEMBER_PARAMETER;
 use filbertbay_transport::tls;
 use filbertbay_transport::wire::{Codec, Frame, kind};
 use futures::{SinkExt, StreamExt};
@@ -14,13 +16,14 @@
 use pgwire::messages::startup::{
     Authentication, BackendKeyData, NegotiateProtocolVersion, SecretKey, Startup,
 };
+use strum::AsRefStr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
 use super::answer::{self, Refusal, State};
 use super::guard::{self, Guard, Identity};
-use super::session::{Session, Start, TOKEN_PARAMETER};
+use super::session::{Purpose, Session, Start, TOKEN_PARAMETER};
 use super::stream::{Caller, Stream};
 use super::{Shared, cancel};
 
@@ -63,6 +66,16 @@
     ("standard_conforming_strings", "on"),
 ];
 
+/// Listener through which a connection came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, AsRefStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Door {
+    /// The one for callers.
+    Callers,
+    /// The one for other instances, which present the endpoints' credentials.
+    Peers,
+}
+
 /// End of a startup without a session.
 #[derive(Debug)]
 pub enum Failure {
@@ -89,7 +102,11 @@
 /// # Errors
 ///
 /// Returns an error if the caller has gone, broke the protocol or presented the wrong key.
-pub async fn open(shared: &Arc<Shared>, socket: TcpStream) -> Result<Option<Session>, Failure> {
+pub async fn open(
+    shared: &Arc<Shared>,
+    door: Door,
+    socket: TcpStream,
+) -> Result<Option<Session>, Failure> {
     socket.set_nodelay(true)?;
     let mut stream = Stream::Plain(socket);
     let mut is_first = true;
@@ -100,13 +117,13 @@
         };
         let code = (&body[..]).get_u32();
         match code {
-            TLS_REQUEST if is_first => stream = secure(shared, stream).await?,
+            TLS_REQUEST if is_first => stream = secure(shared, door, stream).await?,
             GSS_REQUEST if is_first => stream.write_all(b"N").await?,
             CANCEL_REQUEST => {
                 cancel(shared, &body).await;
                 return Ok(None);
             }
-            _ => return Ok(Some(start(shared, stream, &mut body).await?)),
+            _ => return Ok(Some(start(shared, door, stream, &mut body).await?)),
         }
         // A caller may ask for GSSAPI first and for TLS then, but not for encryption in encryption.
         is_first = is_first && code == GSS_REQUEST;
@@ -124,8 +141,8 @@
     Ok(Some(body))
 }
 
-async fn secure(shared: &Shared, mut stream: Stream) -> Result<Stream, Failure> {
-    let Some(identity) = &shared.tls else {
+async fn secure(shared: &Shared, door: Door, mut stream: Stream) -> Result<Stream, Failure> {
+    let Some(identity) = shared.tls.as_ref().filter(|_| door == Door::Callers) else {
         stream.write_all(b"N").await?;
         return Ok(stream);
     };
@@ -152,6 +169,7 @@
 
 async fn start(
     shared: &Arc<Shared>,
+    door: Door,
     mut stream: Stream,
     body: &mut BytesMut,
 ) -> Result<Session, Failure> {
@@ -161,16 +179,15 @@
     };
     negotiate(&mut stream, &startup).await?;
     let mut caller = Framed::new(stream, Codec::new(MAX_STARTUP_BYTES));
-    let request = Request::read(&startup);
-    let identity = match authenticate(shared, &mut caller, &request).await? {
-        Ok(identity) => identity,
-        Err(refusal) => return Err(refused(caller, refusal)),
+    let admitted = match door {
+        Door::Callers => admit_caller(shared, &mut caller, &startup).await?,
+        Door::Peers => admit_peer(shared, &mut caller, &startup).await?,
     };
-    caller.codec_mut().set_max_bytes(MAX_MESSAGE_BYTES);
-    let start = match begin(shared, &identity, &request) {
-        Ok(start) => start,
+    let (identity, start) = match admitted {
+        Ok(admitted) => admitted,
         Err(refusal) => return Err(refused(caller, refusal)),
     };
+    caller.codec_mut().set_max_bytes(MAX_MESSAGE_BYTES);
     let policy = Arc::clone(&shared.policy);
     let centre = Arc::clone(&shared.data_centre);
     let guard = Guard::new(
@@ -195,6 +212,69 @@
     ))
 }
 
+/// What a startup yields, or why it is refused.
+type Admitted = Result<(Option<Identity>, Start), Refusal>;
+
+async fn admit_caller(
+    shared: &Shared,
+    caller: &mut Caller,
+    startup: &Startup,
+) -> Result<Admitted, Failure> {
+    let request = Request::read(startup);
+    let identity = authenticate(shared, caller, &request).await?;
+    Ok(identity.and_then(|identity| {
+        let start = begin(shared, &identity, &request)?;
+        Ok((Some(identity), start))
+    }))
+}
+
+/// Takes another instance that presents the endpoints' password and names a member whose seat this
+/// instance holds.
+async fn admit_peer(
+    shared: &Shared,
+    caller: &mut Caller,
+    startup: &Startup,
+) -> Result<Admitted, Failure> {
+    let text = |name: &str| {
+        startup
+            .parameters
+            .get(name)
+            .map(String::as_str)
+            .unwrap_or_default()
+    };
+    let (group, member) = (text("database"), text(MEMBER_PARAMETER));
+    caller
+        .send(answer::frame(&Authentication::CleartextPassword))
+        .await?;
+    let frame = caller.next().await.ok_or(Failure::Gone)??;
+    let presented = frame.text(0).filter(|_| frame.kind() == kind::PASSWORD);
+    let is_known = presented.is_some_and(|text| Digest::of(text).matches(&shared.peer_secret));
+    if !is_known {
+        let message = "the credentials of another instance are expected";
+        return Ok(Err(Refusal::new(State::WrongKey, message)));
+    }
+    let view = shared.policy.group(group);
+    let seat = view.as_ref().and_then(|view| {
+        let member = &view.members[view.member(member)?];
+        shared.pool.has_seat(&view.name, member).then_some(())
+    });
+    if seat.is_none() {
+        let message = "this instance has no seat of the member";
+        return Ok(Err(Refusal::not_run(State::Unavailable, message)));
+    }
+    let purpose = Purpose::Peer {
+        group: group.into(),
+        member: member.into(),
+    };
+    Ok(Ok((
+        None,
+        Start {
+            purpose,
+            ..Start::default()
+        },
+    )))
+}
+
 fn refused(caller: Caller, refusal: Refusal) -> Failure {
     Failure::Refused(Box::new(caller.into_inner()), refusal)
 }
@@ -345,6 +425,7 @@
         None => None,
     };
     Ok(Start {
+        purpose: Purpose::Caller,
         consistency: consistency.unwrap_or_default(),
         staleness,
     })
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -11,6 +11,7 @@
 use filbertbay_protocol::platform;
 use filbertbay_protocol::token::{self, Signer};
 use filbertbay_state::instance::{Instance, Presence};
+use filbertbay_state::key::Digest;
 use filbertbay_transport::platform::Client;
 use filbertbay_transport::tls::{self, Identity};
 use slog::{Logger, info, warn};
@@ -19,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::caller::guard::Phase;
+use crate::caller::startup::Door;
 use crate::caller::{self, Shared};
 use crate::control::{self, Control};
 use crate::metric;
@@ -82,7 +84,7 @@
     );
     let shared = shared(&settings, &steering, phase_receiver.clone(), &log)?;
     let metrics = metric::spawn(metrics, phase_receiver)?;
-    let callers = caller::spawn(shared, listener, settings.max_callers)?;
+    let callers = caller::spawn(shared, Door::Callers, listener, settings.max_callers)?;
     info!(log, "instance started"; "callers" => %callers.address(), "metrics" => %metrics.address());
     let drain = Duration::from_millis(settings.drain_ms);
     Ok(Handle {
@@ -166,6 +168,7 @@
         data_centre: Arc::clone(&settings.data_centre),
         registry: Arc::default(),
         startup_timeout: caller::startup::STARTUP_TIMEOUT,
+        peer_secret: Digest::of(&settings.endpoint_password),
         tls: tls.transpose()?,
         phase,
         log: log.clone(),
--- a/crates/filbertbay/src/pool.rs
+++ b/crates/filbertbay/src/pool.rs
@@ -2,35 +2,44 @@
 //!
 //! A session leases one connection for a transaction and gives it back clean. A connection that is
 //! not given back clean is closed, and the endpoint rolls back what was open on it.
+//!
+//! With a [`Directory`] the instance opens connections to a member only while it holds one of the
+//! member's seats, see [`seat`](filbertbay_coordination::seat), and forwards over an instance that
+//! holds one otherwise. Without one it opens a fixed number of connections.
 
 mod connection;
+mod seat;
+mod stock;
 
 use std::collections::HashMap;
+use std::fmt::Debug;
 use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::replica::Load;
+use filbertbay_coordination::seat::Plan;
 use filbertbay_coordination::view;
 use filbertbay_transport::endpoint::{self, Target};
 use parking_lot::Mutex;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout_at};
+use tokio::time::sleep;
 
 pub use self::connection::{Connection, Prepared};
+pub use self::stock::Lease;
+use self::stock::Stock;
 
 /// SQLSTATE of an endpoint that accepts no further connection.
 const TOO_MANY_CONNECTIONS: &str = "53300";
 
-/// First wait before a connection is asked for again at an endpoint that is full.
+/// First wait before a connection is asked for again.
 const FIRST_REPEAT: Duration = Duration::from_millis(5);
 
-/// Longest wait before a connection is asked for again at an endpoint that is full.
+/// Longest wait before a connection is asked for again.
 const MAX_REPEAT: Duration = Duration::from_millis(100);
 
-/// Weight of the newest statement in a member's mean latency, as one part in this many.
-const LATENCY_PARTS: u32 = 8;
+/// Connections to one member over other instances.
+const MAX_FORWARDED: usize = 8;
 
 /// Options of a [`Pool`].
 #[derive(Clone, Debug)]
@@ -95,10 +104,18 @@
     }
 }
 
+/// Border to what control knows about other instances.
+pub trait Directory: Debug + Send + Sync {
+    /// Returns where statements for a member may be forwarded, the likeliest holder of a seat
+    /// first.
+    fn forwards(&self, group: &str, member: &view::Member) -> Vec<SocketAddr>;
+}
+
 /// Connections to the members of all groups.
 #[derive(Debug)]
 pub struct Pool {
     config: Config,
+    directory: Option<Arc<dyn Directory>>,
     members: Mutex<HashMap<Key, Arc<Member>>>,
     hasher: RandomState,
 }
@@ -110,26 +127,36 @@
     address: SocketAddr,
 }
 
+/// Member of a group with this instance's connections to it.
 #[derive(Debug)]
 struct Member {
-    name: Arc<str>,
     target: Target,
-    permits: Arc<Semaphore>,
-    idle: Mutex<Vec<Connection>>,
-    load: Mutex<Load>,
+    /// Connections of this instance's own; none while it holds no seat.
+    own: Mutex<Option<Arc<Stock>>>,
+    /// Connections over other instances.
+    forwarded: Arc<Stock>,
+    load: Arc<Mutex<Load>>,
+    seat: Mutex<Option<seat::Task>>,
 }
 
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(config: Config) -> Self {
-        let members = Mutex::default();
         Self {
             config,
-            members,
+            directory: None,
+            members: Mutex::default(),
             hasher: RandomState::new(),
         }
     }
 
+    /// Lets the pool open connections only with seats, and forward otherwise.
+    #[must_use]
+    pub fn directory(mut self, directory: Arc<dyn Directory>) -> Self {
+        self.directory = Some(directory);
+        self
+    }
+
     /// Returns the hasher that names prepared statements at endpoints.
     pub fn hasher(&self) -> &RandomState {
         &self.hasher
@@ -143,7 +170,28 @@
             .collect()
     }
 
-    /// Leases a connection to a member.
+    /// Tries to hold a seat of a member from now on, at the given rank among all instances.
+    pub fn hold_seat(&self, group: &Arc<str>, member: &view::Member, plan: Plan, rank: u32) {
+        let member = self.member(group, member);
+        let mut seat = member.seat.lock();
+        if seat.as_ref().is_none_or(|task| task.plan() != plan) {
+            *seat = Some(seat::spawn(Arc::downgrade(&member), plan, rank));
+        }
+    }
+
+    /// Gives up the seat of a member, if this instance holds one.
+    pub fn release_seat(&self, group: &Arc<str>, member: &view::Member) {
+        let member = self.member(group, member);
+        *member.seat.lock() = None;
+        member.close_own();
+    }
+
+    /// Returns whether this instance may open connections to a member.
+    pub fn has_seat(&self, group: &Arc<str>, member: &view::Member) -> bool {
+        self.member(group, member).own.lock().is_some()
+    }
+
+    /// Leases a connection to a member, over another instance where this one has no seat.
     ///
     /// # Errors
     ///
@@ -153,6 +201,46 @@
         group: &view::Group,
         member: usize,
         deadline: Instant,
+    ) -> Result<Lease, Error> {
+        let view = &group.members[member];
+        let member = self.member(&group.name, view);
+        let mut wait = FIRST_REPEAT;
+        loop {
+            let own = self.own(&member);
+            let has_seat = own.is_some();
+            let taken = match own {
+                Some(stock) => self.take_own(&member, &stock, deadline).await,
+                None => {
+                    self.take_forwarded(&group.name, view, &member, deadline)
+                        .await
+                }
+            };
+            let kind = match taken {
+                Ok(lease) => return Ok(lease),
+                Err(kind) => kind,
+            };
+            // Another instance's seat may come or move meanwhile.
+            if has_seat || Instant::now() + wait >= deadline {
+                return Err(Error {
+                    kind,
+                    member: Arc::clone(&view.name),
+                });
+            }
+            sleep(wait).await;
+            wait = (wait * 2).min(MAX_REPEAT);
+        }
+    }
+
+    /// Leases a connection of this instance's own to a member, for another instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if this instance has no seat, or none is to be had until the deadline.
+    pub async fn take_for_peer(
+        &self,
+        group: &view::Group,
+        member: usize,
+        deadline: Instant,
     ) -> Result<Lease, Error> {
         let view = &group.members[member];
         let member = self.member(&group.name, view);
@@ -160,23 +248,88 @@
             kind,
             member: Arc::clone(&view.name),
         };
-        let waiting = Arc::clone(&member.permits).acquire_owned();
-        let permit = timeout_at(deadline.into(), waiting)
-            .await
-            .ok()
-            .and_then(Result::ok)
-            .ok_or_else(|| fail(ErrorKind::Busy))?;
-        let connection = match member.pop_idle() {
+        let stock = self
+            .own(&member)
+            .ok_or_else(|| fail(ErrorKind::Unreachable))?;
+        self.take_own(&member, &stock, deadline).await.map_err(fail)
+    }
+
+    fn own(&self, member: &Member) -> Option<Arc<Stock>> {
+        let mut own = member.own.lock();
+        if own.is_none() && self.directory.is_none() {
+            *own = Some(Arc::new(Stock::new(self.config.connections)));
+        }
+        own.clone()
+    }
+
+    async fn take_own(
+        &self,
+        member: &Member,
+        stock: &Arc<Stock>,
+        deadline: Instant,
+    ) -> Result<Lease, ErrorKind> {
+        let permit = stock.permit(deadline).await?;
+        let connection = match stock.pop() {
             Some(connection) => connection,
-            None => self.open(&member, deadline).await.map_err(fail)?,
+            None => stock.adopt(self.open(&member.target, deadline).await?),
         };
-        Ok(Lease::new(member, connection, permit))
+        Ok(Lease::new(
+            Arc::clone(stock),
+            Arc::clone(&member.load),
+            connection,
+            permit,
+        ))
     }
 
-    async fn open(&self, member: &Member, deadline: Instant) -> Result<Connection, ErrorKind> {
+    async fn take_forwarded(
+        &self,
+        group: &str,
+        view: &view::Member,
+        member: &Member,
+        deadline: Instant,
+    ) -> Result<Lease, ErrorKind> {
+        let stock = &member.forwarded;
+        let permit = stock.permit(deadline).await?;
+        let connection = match stock.pop() {
+            Some(connection) => connection,
+            None => stock.adopt(self.forward(group, view, member, deadline).await?),
+        };
+        Ok(Lease::new(
+            Arc::clone(stock),
+            Arc::clone(&member.load),
+            connection,
+            permit,
+        ))
+    }
+
+    /// Connects over the first instance that holds a seat.
+    async fn forward(
+        &self,
+        group: &str,
+        view: &view::Member,
+        member: &Member,
+        deadline: Instant,
+    ) -> Result<Connection, ErrorKind> {
+        let Some(directory) = &self.directory else {
+            return Err(ErrorKind::Unreachable);
+        };
+        for address in directory.forwards(group, view) {
+            let target = Target {
+                address,
+                member: Some(Arc::clone(&view.name)),
+                ..member.target.clone()
+            };
+            if let Ok(connection) = self.open_once(&target, deadline).await {
+                return Ok(connection);
+            }
+        }
+        Err(ErrorKind::Unreachable)
+    }
+
+    async fn open(&self, target: &Target, deadline: Instant) -> Result<Connection, ErrorKind> {
         let mut wait = FIRST_REPEAT;
         loop {
-            let error = match self.open_once(member, deadline).await {
+            let error = match self.open_once(target, deadline).await {
                 Ok(connection) => return Ok(connection),
                 Err(error) => error,
             };
@@ -194,12 +347,12 @@
 
     async fn open_once(
         &self,
-        member: &Member,
+        target: &Target,
         deadline: Instant,
     ) -> Result<Connection, endpoint::Error> {
         let left = deadline.saturating_duration_since(Instant::now());
         let limit = left.min(self.config.connect_timeout);
-        let connection = endpoint::Connection::open(&member.target, limit).await?;
+        let connection = endpoint::Connection::open(target, limit).await?;
         Ok(Connection::new(connection))
     }
 
@@ -210,10 +363,9 @@
             address: member.address,
         };
         let mut members = self.members.lock();
-        let entry = members.entry(key).or_insert_with(|| {
-            let target = self.target(group, member);
-            Arc::new(Member::new(&member.name, target, self.config.connections))
-        });
+        let entry = members
+            .entry(key)
+            .or_insert_with(|| Arc::new(Member::new(self.target(group, member))));
         Arc::clone(entry)
     }
 
@@ -227,94 +379,28 @@
             member: None,
         }
     }
-
-    /// Closes idle connections to members that are not among those given, and forgets the members.
-    pub fn retain<F>(&self, is_known: F)
-    where
-        F: Fn(&str, SocketAddr) -> bool,
-    {
-        self.members
-            .lock()
-            .retain(|key, _| is_known(&key.group, key.address));
-    }
 }
 
 impl Member {
-    fn new(name: &Arc<str>, target: Target, connections: usize) -> Self {
+    fn new(target: Target) -> Self {
         Self {
-            name: Arc::clone(name),
             target,
-            permits: Arc::new(Semaphore::new(connections)),
-            idle: Mutex::default(),
-            load: Mutex::default(),
+            own: Mutex::default(),
+            forwarded: Arc::new(Stock::new(MAX_FORWARDED)),
+            load: Arc::default(),
+            seat: Mutex::default(),
         }
     }
 
-    /// Takes an idle connection, dropping those that the endpoint has closed meanwhile.
-    fn pop_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock();
-        while let Some(connection) = idle.pop() {
-            if connection.is_quiet() {
-                return Some(connection);
-            }
-        }
-        None
-    }
-}
-
-/// Connection that one session holds; dropped, it is closed.
-#[derive(Debug)]
-pub struct Lease {
-    member: Arc<Member>,
-    connection: Option<Connection>,
-    started: Instant,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Lease {
-    fn new(member: Arc<Member>, connection: Connection, permit: OwnedSemaphorePermit) -> Self {
-        let mut load = member.load.lock();
-        load.started += 1;
-        load.in_flight += 1;
-        drop(load);
-        let connection = Some(connection);
-        Self {
-            member,
-            connection,
-            started: Instant::now(),
-            _permit: permit,
-        }
-    }
-
-    /// Returns the name of the member.
-    pub fn member(&self) -> &Arc<str> {
-        &self.member.name
-    }
-
-    /// Returns the connection.
-    ///
-    /// # Panics
-    ///
-    /// Never, as the connection leaves the lease only when the lease ends.
-    pub fn connection(&mut self) -> &mut Connection {
-        self.connection
-            .as_mut()
-            .expect("a lease holds its connection")
+    /// Lets connections of this instance's own be opened.
+    fn open_own(&self, connections: u32) {
+        *self.own.lock() = Some(Arc::new(Stock::new(connections as usize)));
     }
 
-    /// Gives a clean connection back: no open transaction and no answer unread.
-    pub fn give_back(mut self) {
-        if let Some(connection) = self.connection.take().filter(Connection::is_quiet) {
-            self.member.idle.lock().push(connection);
+    /// Ends every connection of this instance's own at once.
+    fn close_own(&self) {
+        if let Some(stock) = self.own.lock().take() {
+            stock.end();
         }
     }
 }
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        let took = self.started.elapsed();
-        let mut load = self.member.load.lock();
-        load.in_flight = load.in_flight.saturating_sub(1);
-        load.latency = (load.latency * (LATENCY_PARTS - 1) + took) / LATENCY_PARTS;
-    }
-}
--- /dev/null
+++ b/crates/filbertbay/src/pool/stock.rs
@@ -0,0 +1,141 @@
+//! Bounded stock of connections, and the lease of one.
+
+use std::sync::{Arc, Weak};
+use std::time::Instant;
+
+use filbertbay_coordination::replica::Load;
+use filbertbay_transport::endpoint::Breaker;
+use parking_lot::Mutex;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout_at;
+
+use super::{Connection, ErrorKind};
+
+/// Weight of the newest statement in a member's mean latency, as one part in this many.
+const LATENCY_PARTS: u32 = 8;
+
+/// Bounded stock of connections to one member.
+#[derive(Debug)]
+pub(super) struct Stock {
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<Connection>>,
+    breakers: Mutex<Vec<Weak<Breaker>>>,
+}
+
+impl Stock {
+    /// Creates a stock of at most this many connections.
+    pub(super) fn new(connections: usize) -> Self {
+        Self {
+            permits: Arc::new(Semaphore::new(connections)),
+            idle: Mutex::default(),
+            breakers: Mutex::default(),
+        }
+    }
+
+    /// Waits for the right to use one connection.
+    pub(super) async fn permit(
+        &self,
+        deadline: Instant,
+    ) -> Result<OwnedSemaphorePermit, ErrorKind> {
+        let waiting = Arc::clone(&self.permits).acquire_owned();
+        match timeout_at(deadline.into(), waiting).await {
+            Ok(Ok(permit)) => Ok(permit),
+            Ok(Err(_)) => Err(ErrorKind::Unreachable),
+            Err(_) => Err(ErrorKind::Busy),
+        }
+    }
+
+    /// Takes an idle connection, dropping those that the endpoint has closed meanwhile.
+    pub(super) fn pop(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        while let Some(connection) = idle.pop() {
+            if connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Notes a fresh connection, so that [`Stock::end`] reaches it.
+    pub(super) fn adopt(&self, connection: Connection) -> Connection {
+        let mut breakers = self.breakers.lock();
+        breakers.retain(|breaker| breaker.strong_count() > 0);
+        breakers.push(Arc::downgrade(connection.endpoint.breaker()));
+        if self.permits.is_closed() {
+            connection.endpoint.breaker().end();
+        }
+        drop(breakers);
+        connection
+    }
+
+    /// Ends every connection, also those that are leased.
+    pub(super) fn end(&self) {
+        self.permits.close();
+        let breakers = self.breakers.lock();
+        breakers
+            .iter()
+            .filter_map(Weak::upgrade)
+            .for_each(|breaker| breaker.end());
+        self.idle.lock().clear();
+    }
+}
+
+/// Connection that one session holds; dropped, it is closed.
+#[derive(Debug)]
+pub struct Lease {
+    stock: Arc<Stock>,
+    load: Arc<Mutex<Load>>,
+    connection: Option<Connection>,
+    started: Instant,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Lease {
+    pub(super) fn new(
+        stock: Arc<Stock>,
+        load: Arc<Mutex<Load>>,
+        connection: Connection,
+        permit: OwnedSemaphorePermit,
+    ) -> Self {
+        {
+            let mut load = load.lock();
+            load.started += 1;
+            load.in_flight += 1;
+        }
+        let connection = Some(connection);
+        Self {
+            stock,
+            load,
+            connection,
+            started: Instant::now(),
+            _permit: permit,
+        }
+    }
+
+    /// Returns the connection.
+    ///
+    /// # Panics
+    ///
+    /// Never, as the connection leaves the lease only when the lease ends.
+    pub fn connection(&mut self) -> &mut Connection {
+        self.connection
+            .as_mut()
+            .expect("a lease holds its connection")
+    }
+
+    /// Gives a clean connection back: no open transaction and no answer unread.
+    pub fn give_back(mut self) {
+        if let Some(connection) = self.connection.take().filter(Connection::is_quiet) {
+            self.stock.idle.lock().push(connection);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let took = self.started.elapsed();
+        let mut load = self.load.lock();
+        load.in_flight = load.in_flight.saturating_sub(1);
+        load.latency = (load.latency * (LATENCY_PARTS - 1) + took) / LATENCY_PARTS;
+    }
+}
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use filbertbay::caller::guard::Phase;
 use filbertbay::caller::policy::{Demand, Finished, Policy};
+use filbertbay::caller::startup::Door;
 use filbertbay::caller::{self, Handle, Shared};
 use filbertbay::pool::{self, Pool};
 use filbertbay_coordination::authority::confirm::{Cause, Outcome};
@@ -197,6 +198,7 @@
         data_centre: "quimper".into(),
         registry: Arc::default(),
         startup_timeout: STARTUP_TIMEOUT,
+        peer_secret: Digest::of(PASSWORD),
         tls: None,
         phase: phase_receiver,
         log: Logger::root(slog::Discard, o!()),
@@ -205,7 +207,12 @@
     let listener = TcpListener::bind::<SocketAddr>(address)
         .await
         .expect("the port is free");
-    let callers = caller::spawn(Arc::new(shared), listener, options.max_callers);
+    let callers = caller::spawn(
+        Arc::new(shared),
+        Door::Callers,
+        listener,
+        options.max_callers,
+    );
     let callers = callers.expect("the listener is bound");
     Fixture {
         group,
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -8,9 +8,10 @@
 
 mod control;
 
-pub use self::control::Control;
+pub use self::control::{Control, read_row};
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -169,10 +170,28 @@
     }
 }
 
+/// Second handle of a connection's socket, with which another task can end the connection.
+#[derive(Debug)]
+pub struct Breaker(std::net::TcpStream);
+
+impl Breaker {
+    fn new(socket: &TcpStream) -> std::io::Result<Self> {
+        let handle = socket.as_fd().try_clone_to_owned()?;
+        Ok(Self(handle.into()))
+    }
+
+    /// Ends the connection at once, whoever uses it.
+    pub fn end(&self) {
+        // A socket that the other side has closed already is at its end.
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
+}
+
 /// Open connection to an endpoint.
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
+    breaker: Arc<Breaker>,
     stream: Framed<TcpStream, Codec>,
     cancel_key: CancelKey,
     parameters: Vec<Frame>,
@@ -210,6 +229,7 @@
         socket.write_all(&buffer).await.map_err(unreachable)?;
         let mut connection = Self {
             address,
+            breaker: Arc::new(Breaker::new(&socket).map_err(unreachable)?),
             stream: Framed::new(socket, Codec::new(MAX_MESSAGE_BYTES)),
             cancel_key: CancelKey {
                 address,
@@ -260,6 +280,11 @@
         Ok(())
     }
 
+    /// Returns the handle with which another task can end the connection.
+    pub fn breaker(&self) -> &Arc<Breaker> {
+        &self.breaker
+    }
+
     /// Returns what a cancel request for this connection must name.
     pub fn cancel_key(&self) -> &CancelKey {
         &self.cancel_key
--- a/crates/transport/src/endpoint/control.rs
+++ b/crates/transport/src/endpoint/control.rs
@@ -85,7 +85,12 @@
     }
 }
 
-fn read_row(frames: &[Frame]) -> Result<Vec<Option<String>>, Error> {
+/// Returns the texts of the only row of an answer.
+///
+/// # Errors
+///
+/// Returns an error if the answer is an error or has no row.
+pub fn read_row(frames: &[Frame]) -> Result<Vec<Option<String>>, Error> {
     if let Some(error) = frames.iter().find(|frame| frame.kind() == kind::ERROR) {
         let refused = error.field(b'C') == Some(ORDER_REFUSED);
         let message = error.field(b'M').unwrap_or("no reason given");
