Refuse callers with a key where a withdrawal may have gone unheard for too long

Cause: a withdrawn key must stop within seconds, and a data centre that is cut off must go on serving what it can; nothing told an outage of the platform (nobody can withdraw) from a partition (somebody may have). Ruled out: a flag 'hears the platform' on heartbeats (two instances cut off together would confirm each other for ever; ages that grow on the way do not); stopping at once (each outage of the platform would end service). Change: coordination::contact computes the silence from ages; probes carry them; past silence_ms (15 min unless set, null for ever) sessions with a key end with 57P01 and routes open to all go on. Control links of the daemon now carry their ALPN, without which TLS peers refused each other. Also: a_withdrawn_key_cuts_a_running_statement failed once with 'closed': the key went before the statement had reached the endpoint, so the session ended idle, as it may. The test now waits until an endpoint has received the statement. Conclusion: the limit is the operators' choice; the default bounds a long isolation, not a short cut.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! the caller passes in. The daemon is one driver of these machines; tests are another.
 
 pub mod authority;
+pub mod contact;
 pub mod membership;
 pub mod queue;
 pub mod quorum;
--- a/crates/filbertbay/examples/capacity/membership.rs
+++ b/crates/filbertbay/examples/capacity/membership.rs
@@ -118,7 +118,7 @@
             protocol: PROTOCOL,
             from: self.table.own().clone(),
             version: 1,
-            platform: true,
+            platform_age: Some(Duration::ZERO),
             rumours: self.table.rumours(to),
         };
         bincode::serialize(&heartbeat).unwrap_or_default()
--- a/crates/filbertbay/src/caller/guard.rs
+++ b/crates/filbertbay/src/caller/guard.rs
@@ -64,6 +64,7 @@
     identity: Identity,
     changes: watch::Receiver<Snapshot>,
     phase: watch::Receiver<Phase>,
+    cut_off: watch::Receiver<bool>,
     snapshot: Snapshot,
     place: Option<Place>,
     end: Option<End>,
@@ -79,6 +80,7 @@
         now: Instant,
     ) -> Self {
         let changes = policy.changes();
+        let cut_off = policy.cut_off();
         let snapshot = policy.snapshot();
         let place = None;
         let end = None;
@@ -88,6 +90,7 @@
             identity,
             changes,
             phase,
+            cut_off,
             snapshot,
             place,
             end,
@@ -114,7 +117,8 @@
     /// Follows the newest configuration and phase.
     pub fn refresh(&mut self, now: Instant) {
         let is_new = self.changes.has_changed().unwrap_or(false);
-        if is_new || self.phase.has_changed().unwrap_or(false) {
+        let is_moved = self.phase.has_changed().unwrap_or(false);
+        if is_new || is_moved || self.cut_off.has_changed().unwrap_or(false) {
             self.evaluate(now);
         }
     }
@@ -124,6 +128,7 @@
         tokio::select! {
             result = self.changes.changed() => if result.is_err() { std::future::pending().await },
             result = self.phase.changed() => if result.is_err() { std::future::pending().await },
+            result = self.cut_off.changed() => if result.is_err() { std::future::pending().await },
         }
         // The next refresh must see the change that this call has consumed.
         self.changes.mark_changed();
@@ -132,9 +137,10 @@
     fn evaluate(&mut self, now: Instant) {
         self.changes.mark_unchanged();
         let phase = *self.phase.borrow_and_update();
+        let is_cut_off = *self.cut_off.borrow_and_update();
         self.snapshot = self.policy.snapshot();
         self.place = locate(&self.snapshot, &self.identity);
-        let refusal = self.refusal(phase);
+        let refusal = self.refusal(phase, is_cut_off);
         let limit = match phase {
             Phase::Draining(limit) if self.place.is_some() => limit,
             _ => now + GRACE,
@@ -149,7 +155,7 @@
         };
     }
 
-    fn refusal(&self, phase: Phase) -> Option<Refusal> {
+    fn refusal(&self, phase: Phase, is_cut_off: bool) -> Option<Refusal> {
         let centre = self.snapshot.data_centre(&self.data_centre);
         let is_out = centre.is_some_and(|id| self.snapshot[id].availability == Availability::Out);
         if self.place.is_none() {
@@ -162,6 +168,11 @@
                 State::Leaving,
                 "the data centre is taken out; connect again",
             ))
+        } else if is_cut_off && self.identity.key.is_some() {
+            Some(Refusal::new(
+                State::Leaving,
+                "the instance is cut off and can't check the key; connect elsewhere",
+            ))
         } else if phase != Phase::Serving {
             Some(Refusal::new(
                 State::Leaving,
--- a/crates/filbertbay/src/caller/policy.rs
+++ b/crates/filbertbay/src/caller/policy.rs
@@ -52,6 +52,9 @@
     /// Returns a receiver that changes with each new configuration.
     fn changes(&self) -> watch::Receiver<Snapshot>;
 
+    /// Returns a receiver that tells whether this instance may have missed that a key was withdrawn.
+    fn cut_off(&self) -> watch::Receiver<bool>;
+
     /// Waits until it is known whether finished work may be acknowledged.
     async fn confirm(&self, finished: Finished) -> Outcome;
 
--- a/crates/filbertbay/src/control/configuration.rs
+++ b/crates/filbertbay/src/control/configuration.rs
@@ -312,6 +312,7 @@
         }
         match follower.next(WATCH_WAIT).await {
             Ok(loaded) => {
+                published.hear_platform(Instant::now());
                 retry = RETRY_FLOOR;
                 if let Some(bundle) = loaded
                     && address.send(Loaded(bundle)).await.is_err()
--- a/crates/filbertbay/src/control/membership.rs
+++ b/crates/filbertbay/src/control/membership.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::contact::Contact;
 use filbertbay_coordination::membership::{Action, Config, Event, Table};
 use filbertbay_protocol::peer::{Heartbeat, PROTOCOL, Relay};
+use filbertbay_state::document::Availability;
 use filbertbay_state::instance::Instance;
 use filbertbay_transport::peer::Pool;
 use rand::SeedableRng;
@@ -31,20 +33,20 @@
     published: Arc<Published>,
     configuration: Address<configuration::Configuration>,
     changes: u64,
-    platform_heard: Option<Instant>,
+    contact: Contact,
+    silence_limit: Option<Duration>,
 }
 
-/// Time after which an instance no longer counts as hearing the platform.
-const PLATFORM_HEARD: Duration = Duration::from_secs(10);
-
 impl Membership {
     /// Spawns the actor with a table that holds this instance alone.
     pub fn spawn(
         pool: Arc<Pool>,
         published: Arc<Published>,
         configuration: Address<configuration::Configuration>,
+        silence_limit: Option<Duration>,
     ) -> Address<Self> {
         let own = published.own().clone();
+        let data_centre = Arc::clone(&own.data_centre);
         let actor = Self {
             table: Table::open(Instant::now(), own, Config::default()),
             rng: StdRng::from_os_rng(),
@@ -52,7 +54,8 @@
             published,
             configuration,
             changes: 0,
-            platform_heard: None,
+            contact: Contact::open(Instant::now(), data_centre),
+            silence_limit,
         };
         let address = xtra::spawn_tokio(actor, Mailbox::bounded(super::MAILBOX));
         tokio::spawn(tick(address.downgrade()));
@@ -64,9 +67,7 @@
             protocol: PROTOCOL,
             from: self.table.own().clone(),
             version: self.published.snapshot().version().0,
-            platform: self
-                .platform_heard
-                .is_some_and(|heard| heard.elapsed() < PLATFORM_HEARD),
+            platform_age: self.contact.platform_age(Instant::now()),
             rumours: self.table.rumours(to),
         }
     }
@@ -109,8 +110,28 @@
         self.published.set_instances(instances);
     }
 
-    /// Passes the version that another instance has on to the configuration actor.
-    async fn hear_version(&self, heartbeat: &Heartbeat) {
+    /// Lets callers with a key in while changes of the configuration can't go unheard for too long.
+    fn publish_contact(&mut self, now: Instant) {
+        if let Some(heard) = self.published.platform_heard() {
+            self.contact.hear_platform(heard);
+        }
+        let snapshot = self.published.snapshot();
+        let serving = snapshot
+            .data_centres
+            .iter()
+            .filter(|one| one.availability == Availability::In);
+        let data_centres = serving.map(|one| one.name.as_ref());
+        let silence = self.contact.silence(now, data_centres);
+        metrics::gauge!("filbertbay_configuration_silence_seconds").set(silence.as_secs_f64());
+        let is_cut_off = self.silence_limit.is_some_and(|limit| silence > limit);
+        self.published.set_cut_off(is_cut_off);
+    }
+
+    /// Takes note of the sender, and passes its version on to the configuration actor.
+    async fn hear(&mut self, heartbeat: &Heartbeat) {
+        let from = &heartbeat.from.instance;
+        self.contact
+            .hear_instance(Instant::now(), &from.data_centre, heartbeat.platform_age);
         let heard = configuration::Heard {
             from: heartbeat.from.instance.clone(),
             version: heartbeat.version,
@@ -184,6 +205,7 @@
             self.act(&address, action);
         }
         self.publish();
+        self.publish_contact(Instant::now());
     }
 }
 
@@ -199,7 +221,7 @@
         if heartbeat.protocol != PROTOCOL {
             return None;
         }
-        self.hear_version(&heartbeat).await;
+        self.hear(&heartbeat).await;
         let Heartbeat { from, rumours, .. } = heartbeat;
         let name = Arc::clone(&from.instance.name);
         self.table
@@ -222,7 +244,7 @@
         if message.heartbeat.protocol != PROTOCOL {
             return;
         }
-        self.hear_version(&message.heartbeat).await;
+        self.hear(&message.heartbeat).await;
         let Heartbeat {
             from, mut rumours, ..
         } = message.heartbeat;
@@ -279,7 +301,7 @@
 
     async fn handle(&mut self, message: Listed, _: &mut Context<Self>) {
         let now = Instant::now();
-        self.platform_heard = Some(now);
+        self.contact.hear_platform(now);
         self.table.on_event(now, Event::Listed(message.0));
         self.publish();
     }
--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -42,6 +42,9 @@
     pub identity: Option<Arc<Identity>>,
     /// Addresses of control links to try when the platform does not answer at start-up.
     pub seeds: Vec<SocketAddr>,
+    /// Longest time for which a change of the configuration may go unheard before callers with a
+    /// key are refused.
+    pub silence_limit: Option<Duration>,
     /// State shared with traffic; its own instance names the address to bind.
     pub published: Arc<Published>,
     /// Log.
@@ -97,6 +100,7 @@
         store,
         identity,
         seeds,
+        silence_limit,
         published,
         log,
     } = parts;
@@ -112,6 +116,7 @@
         Arc::clone(&pool),
         Arc::clone(&published),
         configuration.clone(),
+        silence_limit,
     );
     let service = Service {
         pool: Arc::clone(&pool),
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -11,6 +11,7 @@
 use filbertbay_protocol::platform;
 use filbertbay_protocol::token::{self, Signer};
 use filbertbay_state::instance::{Instance, Presence};
+use filbertbay_transport::peer;
 use filbertbay_transport::platform::Client;
 use filbertbay_transport::tls::{self, Identity};
 use slog::{Logger, info, warn};
@@ -128,11 +129,12 @@
     let identity = settings
         .peer_tls
         .as_ref()
-        .map(|tls| Identity::open(files(tls), None));
+        .map(|tls| Identity::open(files(tls), Some(peer::ALPN)));
     Ok(control::Parts {
         store: Arc::new(Client::open(&settings.platform)?),
         identity: identity.transpose()?.map(Arc::new),
         seeds: settings.seeds.clone(),
+        silence_limit: settings.silence_ms.map(Duration::from_millis),
         published: Arc::clone(published),
         log: log.clone(),
     })
--- a/crates/filbertbay/src/published.rs
+++ b/crates/filbertbay/src/published.rs
@@ -5,11 +5,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use filbertbay_coordination::view;
 use filbertbay_state::instance::Instance;
 use filbertbay_state::snapshot::Snapshot;
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
 /// Group views by the name of the group; a view is replaced without touching the map.
@@ -23,6 +25,8 @@
     groups: ArcSwap<Groups>,
     instances: ArcSwap<Vec<Instance>>,
     draining: watch::Sender<bool>,
+    cut_off: watch::Sender<bool>,
+    platform_heard: Mutex<Option<Instant>>,
 }
 
 impl Published {
@@ -34,6 +38,8 @@
             snapshot: watch::Sender::new(Snapshot::empty()),
             groups: ArcSwap::default(),
             draining: watch::Sender::new(false),
+            cut_off: watch::Sender::new(false),
+            platform_heard: Mutex::default(),
         }
     }
 
@@ -118,4 +124,29 @@
     pub fn drain(&self) {
         self.draining.send_replace(true);
     }
+
+    /// Returns a receiver that tells whether this instance may have missed that a key was withdrawn.
+    pub fn subscribe_cut_off(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
+    /// Sets whether this instance may have missed that a key was withdrawn.
+    pub fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.send_if_modified(|present| {
+            let changed = *present != cut_off;
+            *present = cut_off;
+            changed
+        });
+    }
+
+    /// Returns when the platform last answered this instance.
+    pub fn platform_heard(&self) -> Option<Instant> {
+        *self.platform_heard.lock()
+    }
+
+    /// Notes that the platform answered this instance.
+    pub fn hear_platform(&self, now: Instant) {
+        let mut heard = self.platform_heard.lock();
+        *heard = heard.max(Some(now));
+    }
 }
--- a/crates/filbertbay/src/settings.rs
+++ b/crates/filbertbay/src/settings.rs
@@ -71,9 +71,9 @@
     /// Longest wait for running work after SIGTERM, in milliseconds.
     #[serde(default = "Settings::default_drain_ms")]
     pub drain_ms: u64,
-    /// Longest time that the daemon serves without hearing the configuration from the platform or
-    /// a peer, in milliseconds; without it the daemon serves on.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// Longest time for which a change of the configuration may go unheard before callers with a
+    /// key are refused, in milliseconds; null serves them for ever.
+    #[serde(default = "Settings::default_silence_ms")]
     pub silence_ms: Option<u64>,
     /// Threads that serve callers; zero takes one for each core.
     #[serde(default)]
@@ -111,6 +111,14 @@
 }
 
 impl Settings {
+    #[expect(
+        clippy::unnecessary_wraps,
+        reason = "serde wants the type of the field"
+    )]
+    fn default_silence_ms() -> Option<u64> {
+        Some(900_000)
+    }
+
     fn default_max_callers() -> usize {
         20_000
     }
--- a/crates/filbertbay/src/steering.rs
+++ b/crates/filbertbay/src/steering.rs
@@ -235,6 +235,10 @@
         self.published.subscribe()
     }
 
+    fn cut_off(&self) -> watch::Receiver<bool> {
+        self.published.subscribe_cut_off()
+    }
+
     async fn confirm(&self, finished: Finished) -> Outcome {
         let Some(view) = self.published.group(&finished.group) else {
             return Outcome::Unknown(Cause::Deadline);
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -49,6 +49,7 @@
     group: Arc<group::Handle>,
     document: Mutex<(u64, Document)>,
     changes: watch::Sender<Snapshot>,
+    pub cut_off: watch::Sender<bool>,
     /// Whether writes can be confirmed.
     pub confirms: Mutex<bool>,
     /// Whether statements are admitted.
@@ -123,6 +124,10 @@
         self.changes.subscribe()
     }
 
+    fn cut_off(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
     async fn confirm(&self, finished: Finished) -> Outcome {
         let view = self.group(&finished.group).expect("known");
         let status = view.members[finished.member]
@@ -183,6 +188,7 @@
         document: Mutex::new((1, document(&group))),
         group: Arc::clone(&group),
         changes,
+        cut_off: watch::Sender::new(false),
         confirms: Mutex::new(true),
         admits: Mutex::new(true),
     });
--- a/crates/filbertbay/tests/control.rs
+++ b/crates/filbertbay/tests/control.rs
@@ -77,6 +77,7 @@
             store: self.store(),
             identity: None,
             seeds,
+            silence_limit: None,
             published: Arc::clone(&published),
             log: slog::Logger::root(slog::Discard, slog::o!()),
         };
--- a/crates/filbertbay/tests/rights.rs
+++ b/crates/filbertbay/tests/rights.rs
@@ -41,6 +41,17 @@
         .get(0)
 }
 
+/// Tells whether some endpoint has received the given bytes.
+fn has_received(fixture: &Fixture, bytes: &[u8]) -> bool {
+    let mut members = fixture.group.members().iter();
+    members.any(|member| {
+        member
+            .received()
+            .windows(bytes.len())
+            .any(|part| part == bytes)
+    })
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_ends_an_idle_session_and_admits_no_new_one() {
     let fixture = spawn(Options::default()).await;
@@ -57,7 +68,14 @@
     let client = table(&fixture).await;
     let start = Instant::now();
     let running = client.batch_execute("SELECT pg_sleep(30)");
-    let (cut, ()) = tokio::join!(running, async { fixture.control.withdraw() });
+    let withdrawing = async {
+        until("the statement", async || {
+            has_received(&fixture, b"pg_sleep")
+        })
+        .await;
+        fixture.control.withdraw();
+    };
+    let (cut, ()) = tokio::join!(running, withdrawing);
     let cut = cut.expect_err("cut off");
     assert!(matches!(state(&cut).as_str(), "57014" | "28000"), "{cut:?}");
     assert!(start.elapsed() < DEADLINE);
@@ -81,6 +99,18 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_is_cut_off_refuses_callers_with_a_key() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    fixture.control.cut_off.send_replace(true);
+    closed(&client).await;
+    let refused = connect(&fixture.config()).await.expect_err("cut off");
+    assert_eq!(state(&refused), "57P01");
+    fixture.control.cut_off.send_replace(false);
+    connect(&fixture.config()).await.expect("back in contact");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_centre_that_is_out_lets_go_of_its_callers() {
     let fixture = spawn(Options::default()).await;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -5,6 +5,7 @@
 //! an instance answers a version that it does not know with nothing.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use filbertbay_coordination::membership::Rumour;
 use filbertbay_state::status::Status;
@@ -22,8 +23,8 @@
     pub from: Rumour,
     /// Configuration version that is in force at the sender.
     pub version: u64,
-    /// Whether the sender has lately heard from the platform.
-    pub platform: bool,
+    /// Time since the platform answered the sender or an instance that it heard of.
+    pub platform_age: Option<Duration>,
     /// Rumours about other instances.
     pub rumours: Vec<Rumour>,
 }
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -194,7 +194,7 @@
         protocol: filbertbay_protocol::peer::PROTOCOL,
         from: Rumour::first(instance),
         version: 0,
-        platform: true,
+        platform_age: Some(Duration::ZERO),
         rumours: Vec::new(),
     };
     Relay {
