--- a/crates/filbertbay/src/caller.rs
+++ b/crates/filbertbay/src/caller.rs
@@ -41,14 +41,14 @@
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What all sessions of an instance share.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Shared {
     /// What control decides.
     pub policy: Arc<dyn Policy>,
     /// Endpoint connections.
     pub pool: Arc<Pool>,
     /// Signer of session tokens.
-    pub signer: Signer,
+    pub signer: Arc<Signer>,
     /// How replicas are chosen.
     pub replicas: replica::Config,
     /// Data centre of this instance.
@@ -60,13 +60,24 @@
     /// Digest of the password that other instances present.
     pub peer_secret: Digest,
     /// TLS towards callers.
-    pub tls: Option<tls::Identity>,
+    pub tls: Option<Arc<tls::Identity>>,
     /// Phase of the instance.
     pub phase: watch::Receiver<Phase>,
     /// Log.
     pub log: Logger,
 }
 
+impl Shared {
+    /// Returns what sessions of other instances share; they end later than those of callers.
+    #[must_use]
+    pub fn for_peers(&self, phase: watch::Receiver<Phase>) -> Self {
+        Self {
+            phase,
+            ..self.clone()
+        }
+    }
+}
+
 /// Listener for callers.
 #[derive(Debug)]
 pub struct Handle {
--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -32,7 +32,7 @@
 const MAX_ATTEMPTS: u32 = 3;
 
 /// Longest run of a statement for another instance, which cancels it much earlier itself.
-const PEER_STATEMENT_LIMIT: Duration = Duration::from_secs(3_600);
+const PEER_STATEMENT_LIMIT: Duration = Duration::from_hours(1);
 
 /// Time that a caller has to take the last message of its session.
 const FAREWELL_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! the server of control links. It talks to traffic only through [`Published`].
 
 pub mod configuration;
+pub mod group;
 pub mod membership;
 mod roster;
 mod service;
@@ -42,6 +43,9 @@
     pub identity: Option<Arc<Identity>>,
     /// Addresses of control links to try when the platform does not answer at start-up.
     pub seeds: Vec<SocketAddr>,
+    /// Longest time for which a change of the configuration may go unheard before callers with a
+    /// key are refused.
+    pub silence_limit: Option<Duration>,
     /// State shared with traffic; its own instance names the address to bind.
     pub published: Arc<Published>,
     /// Log.
@@ -51,6 +55,7 @@
 /// Running control thread; it ends when the handle is dropped.
 #[derive(Debug)]
 pub struct Control {
+    runtime: tokio::runtime::Handle,
     leave: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -67,6 +72,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
+        let handle = runtime.handle().clone();
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
@@ -76,11 +82,17 @@
             .await
             .map_err(|_| io::Error::other("control thread ended"))??;
         Ok(Self {
+            runtime: handle,
             leave: Some(leave),
             thread: Some(thread),
         })
     }
 
+    /// Returns the runtime of the control thread, for further actors.
+    pub fn runtime(&self) -> &tokio::runtime::Handle {
+        &self.runtime
+    }
+
     /// Tells others that this instance leaves, then ends the control thread.
     pub async fn shutdown(mut self) {
         if let Some(leave) = self.leave.take() {
@@ -97,6 +109,7 @@
         store,
         identity,
         seeds,
+        silence_limit,
         published,
         log,
     } = parts;
@@ -112,6 +125,7 @@
         Arc::clone(&pool),
         Arc::clone(&published),
         configuration.clone(),
+        silence_limit,
     );
     let service = Service {
         pool: Arc::clone(&pool),
--- a/crates/filbertbay/src/pool.rs
+++ b/crates/filbertbay/src/pool.rs
@@ -269,7 +269,7 @@
         deadline: Instant,
     ) -> Result<Lease, ErrorKind> {
         let permit = stock.permit(deadline).await?;
-        let connection = match stock.pop() {
+        let connection = match stock.pop_where(|_| true) {
             Some(connection) => connection,
             None => stock.adopt(self.open(&member.target, deadline).await?),
         };
@@ -288,11 +288,17 @@
         member: &Member,
         deadline: Instant,
     ) -> Result<Lease, ErrorKind> {
+        let Some(directory) = &self.directory else {
+            return Err(ErrorKind::Unreachable);
+        };
         let stock = &member.forwarded;
         let permit = stock.permit(deadline).await?;
-        let connection = match stock.pop() {
+        let addresses = directory.forwards(group, view);
+        // An instance that leaves is not used again, although its connection still stands.
+        let may_use = |connection: &Connection| addresses.contains(&connection.endpoint.address());
+        let connection = match stock.pop_where(may_use) {
             Some(connection) => connection,
-            None => stock.adopt(self.forward(group, view, member, deadline).await?),
+            None => stock.adopt(self.forward(&addresses, view, member, deadline).await?),
         };
         Ok(Lease::new(
             Arc::clone(stock),
@@ -305,17 +311,14 @@
     /// Connects over the first instance that holds a seat.
     async fn forward(
         &self,
-        group: &str,
+        addresses: &[SocketAddr],
         view: &view::Member,
         member: &Member,
         deadline: Instant,
     ) -> Result<Connection, ErrorKind> {
-        let Some(directory) = &self.directory else {
-            return Err(ErrorKind::Unreachable);
-        };
-        for address in directory.forwards(group, view) {
+        for address in addresses {
             let target = Target {
-                address,
+                address: *address,
                 member: Some(Arc::clone(&view.name)),
                 ..member.target.clone()
             };
--- a/crates/filbertbay/src/pool/seat.rs
+++ b/crates/filbertbay/src/pool/seat.rs
@@ -103,13 +103,11 @@
 
 async fn lock(target: &Target, slot: &mut Option<endpoint::Connection>, seat: u32) -> Event {
     let asked = timeout(LOCK_TIMEOUT, ask(target, slot, seat)).await;
-    match asked.ok().flatten() {
-        Some(locked) => Event::Answered { seat, locked },
-        None => {
-            *slot = None;
-            Event::Lost
-        }
-    }
+    let Some(locked) = asked.ok().flatten() else {
+        *slot = None;
+        return Event::Lost;
+    };
+    Event::Answered { seat, locked }
 }
 
 async fn ask(target: &Target, slot: &mut Option<endpoint::Connection>, seat: u32) -> Option<bool> {
--- a/crates/filbertbay/src/pool/stock.rs
+++ b/crates/filbertbay/src/pool/stock.rs
@@ -45,11 +45,14 @@
         }
     }
 
-    /// Takes an idle connection, dropping those that the endpoint has closed meanwhile.
-    pub(super) fn pop(&self) -> Option<Connection> {
+    /// Takes an idle connection, dropping those that were closed meanwhile or may not be used.
+    pub(super) fn pop_where<F>(&self, may_use: F) -> Option<Connection>
+    where
+        F: Fn(&Connection) -> bool,
+    {
         let mut idle = self.idle.lock();
         while let Some(connection) = idle.pop() {
-            if connection.is_quiet() {
+            if connection.is_quiet() && may_use(&connection) {
                 return Some(connection);
             }
         }
--- a/crates/filbertbay/src/published.rs
+++ b/crates/filbertbay/src/published.rs
@@ -5,15 +5,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use filbertbay_coordination::view;
 use filbertbay_state::instance::Instance;
 use filbertbay_state::snapshot::Snapshot;
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
-/// Group views by the name of the group.
-pub type Groups = BTreeMap<Arc<str>, Arc<view::Group>>;
+/// Group views by the name of the group; a view is replaced without touching the map.
+type Groups = BTreeMap<Arc<str>, Arc<ArcSwap<view::Group>>>;
 
 /// Shared state of one daemon, written by control and read by traffic.
 #[derive(Debug)]
@@ -23,6 +25,8 @@
     groups: ArcSwap<Groups>,
     instances: ArcSwap<Vec<Instance>>,
     draining: watch::Sender<bool>,
+    cut_off: watch::Sender<bool>,
+    platform_heard: Mutex<Option<Instant>>,
 }
 
 impl Published {
@@ -34,6 +38,8 @@
             snapshot: watch::Sender::new(Snapshot::empty()),
             groups: ArcSwap::default(),
             draining: watch::Sender::new(false),
+            cut_off: watch::Sender::new(false),
+            platform_heard: Mutex::default(),
         }
     }
 
@@ -65,15 +71,19 @@
 
     /// Returns the view of a group, if control has one.
     pub fn group(&self, name: &str) -> Option<Arc<view::Group>> {
-        self.groups.load().get(name).cloned()
+        self.groups.load().get(name).map(|slot| slot.load_full())
     }
 
     /// Replaces the view of one group.
     pub fn set_group(&self, view: view::Group) {
         let view = Arc::new(view);
+        if let Some(slot) = self.groups.load().get(&view.name) {
+            return slot.store(view);
+        }
         self.groups.rcu(|groups| {
             let mut groups = Groups::clone(groups);
-            groups.insert(Arc::clone(&view.name), Arc::clone(&view));
+            let slot = Arc::new(ArcSwap::new(Arc::clone(&view)));
+            groups.insert(Arc::clone(&view.name), slot);
             groups
         });
     }
@@ -114,4 +124,29 @@
     pub fn drain(&self) {
         self.draining.send_replace(true);
     }
+
+    /// Returns a receiver that tells whether this instance may have missed that a key was withdrawn.
+    pub fn subscribe_cut_off(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
+    /// Sets whether this instance may have missed that a key was withdrawn.
+    pub fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.send_if_modified(|present| {
+            let changed = *present != cut_off;
+            *present = cut_off;
+            changed
+        });
+    }
+
+    /// Returns when the platform last answered this instance.
+    pub fn platform_heard(&self) -> Option<Instant> {
+        *self.platform_heard.lock()
+    }
+
+    /// Notes that the platform answered this instance.
+    pub fn hear_platform(&self, now: Instant) {
+        let mut heard = self.platform_heard.lock();
+        *heard = heard.max(Some(now));
+    }
 }
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -50,6 +50,7 @@
     group: Arc<group::Handle>,
     document: Mutex<(u64, Document)>,
     changes: watch::Sender<Snapshot>,
+    pub cut_off: watch::Sender<bool>,
     /// Whether writes can be confirmed.
     pub confirms: Mutex<bool>,
     /// Whether statements are admitted.
@@ -124,6 +125,10 @@
         self.changes.subscribe()
     }
 
+    fn cut_off(&self) -> watch::Receiver<bool> {
+        self.cut_off.subscribe()
+    }
+
     async fn confirm(&self, finished: Finished) -> Outcome {
         let view = self.group(&finished.group).expect("known");
         let status = view.members[finished.member]
@@ -184,6 +189,7 @@
         document: Mutex::new((1, document(&group))),
         group: Arc::clone(&group),
         changes,
+        cut_off: watch::Sender::new(false),
         confirms: Mutex::new(true),
         admits: Mutex::new(true),
     });
@@ -193,7 +199,7 @@
     let shared = Shared {
         policy: Arc::clone(&control) as Arc<dyn Policy>,
         pool: Arc::new(Pool::new(config.connections(options.connections))),
-        signer: Signer::new(token::Config::default(), secrets).expect("the secret is long"),
+        signer: Arc::new(Signer::new(token::Config::default(), secrets).expect("long")),
         replicas: replica::Config::default(),
         data_centre: "quimper".into(),
         registry: Arc::default(),
@@ -222,7 +228,8 @@
     }
 }
 
-fn document(group: &group::Handle) -> Document {
+/// Returns the configuration of a group, one route and two workspaces.
+pub fn document(group: &group::Handle) -> Document {
     let members: Vec<String> = group.members().iter().map(member_text).collect();
     let text = format!(
         r#"{{"data_centres": {{"quimper": {{"region": "west"}}, "nantes": {{"region": "south"}},
@@ -243,10 +250,11 @@
 
 fn member_text(member: &Arc<group::Member>) -> String {
     format!(
-        r#""{}": {{"data_centre": "{}", "address": "{}", "connections": 32, "slots": 4}}"#,
+        r#""{}": {{"data_centre": "{}", "address": "{}", "connections": {}, "slots": 4}}"#,
         member.name(),
         member.data_centre(),
-        member.address()
+        member.address(),
+        member.connections()
     )
 }
 
--- a/crates/transport/src/endpoint.rs
+++ b/crates/transport/src/endpoint.rs
@@ -280,6 +280,11 @@
         Ok(())
     }
 
+    /// Returns the address that the connection leads to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the handle with which another task can end the connection.
     pub fn breaker(&self) -> &Arc<Breaker> {
         &self.breaker
