--- a/crates/coordination/tests/model/mod.rs
+++ b/crates/coordination/tests/model/mod.rs
@@ -616,9 +616,7 @@
             }
             4 => self.is_platform_up = !self.is_platform_up,
             5 => self.configure(),
-            6 => self
-                .cut
-                .extend((0..self.members.len()).map(|m| (m.min(member), m.max(member)))),
+            6 => self.isolate(member),
             _ => {
                 self.cut.clear();
                 self.members
@@ -628,6 +626,15 @@
         }
     }
 
+    /// Cuts a member off from the others and from some of the instances.
+    fn isolate(&mut self, member: usize) {
+        for node in 0..self.members.len() + self.instances.len() {
+            if node < self.members.len() || self.rng.random_bool(0.6) {
+                self.cut.insert((node.min(member), node.max(member)));
+            }
+        }
+    }
+
     /// Returns a member to suffer the next fault, often one that believes that it leads.
     fn victim(&mut self) -> usize {
         let any = self.rng.random_range(0..self.members.len());
