--- a/crates/filbertbay/src/caller/policy.rs
+++ b/crates/filbertbay/src/caller/policy.rs
@@ -55,6 +55,9 @@
     /// Returns a receiver that tells whether this instance may have missed that a key was withdrawn.
     fn cut_off(&self) -> watch::Receiver<bool>;
 
+    /// Asks for a fresh view of a group, because a read waits for a replica.
+    async fn refresh(&self, group: &str);
+
     /// Waits until it is known whether finished work may be acknowledged.
     async fn confirm(&self, finished: Finished) -> Outcome;
 
--- a/crates/filbertbay/src/caller/session/place.rs
+++ b/crates/filbertbay/src/caller/session/place.rs
@@ -68,6 +68,7 @@
                 Choice::Primary(member) => (member, true),
                 Choice::Confirm(member) if self.prove(&view, member).await => (member, true),
                 Choice::Wait(_) | Choice::Confirm(_) | Choice::Nobody if now < search.deadline => {
+                    self.shared.policy.refresh(&search.group).await;
                     sleep(REPEAT).await;
                     continue;
                 }
--- a/crates/filbertbay/src/control/group.rs
+++ b/crates/filbertbay/src/control/group.rs
@@ -9,6 +9,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::authority::confirm::{self, Outcome};
@@ -35,6 +36,9 @@
 /// Time between two rounds of questions when nothing waits to be confirmed.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Shortest time between two rounds that reads ask for.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(3);
+
 /// Time between two looks at the deadlines.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -76,6 +80,7 @@
     waiting: HashMap<confirm::Ticket, oneshot::Sender<Outcome>>,
     next_ticket: u64,
     next_poll: Instant,
+    last_poll: Instant,
     next_rank: Instant,
     lease: Option<Lease>,
 }
@@ -99,6 +104,7 @@
             waiting: HashMap::new(),
             next_ticket: POLL_TICKET.0 + 1,
             next_poll: now,
+            last_poll: now,
             next_rank: now,
             lease: None,
         };
@@ -267,6 +273,7 @@
     fn poll(&mut self) {
         let now = Instant::now();
         self.next_poll = now + POLL_INTERVAL;
+        self.last_poll = now;
         let (primary, term) = self.failover.leader().unwrap_or((0, Term::default()));
         let request = confirm::Request {
             ticket: POLL_TICKET,
@@ -422,6 +429,22 @@
     }
 }
 
+/// Asks for a round, because a read waits for a replica.
+#[derive(Debug)]
+struct Refresh(Arc<AtomicBool>);
+
+impl Handler<Refresh> for Group {
+    type Return = ();
+
+    async fn handle(&mut self, refresh: Refresh, _: &mut Context<Self>) {
+        refresh.0.store(false, Ordering::Relaxed);
+        // Reads that wait at the same time share a round.
+        if self.last_poll.elapsed() >= REFRESH_INTERVAL && !self.setting.members.is_empty() {
+            self.poll();
+        }
+    }
+}
+
 /// Looks at the deadlines.
 #[derive(Debug)]
 struct Tick;
--- a/crates/filbertbay/src/control/group/directory.rs
+++ b/crates/filbertbay/src/control/group/directory.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -16,7 +17,7 @@
 use tokio::time::timeout_at;
 use xtra::Address;
 
-use super::{Configured, Confirm, Group, Parts};
+use super::{Configured, Confirm, Group, Parts, Refresh};
 use crate::caller::policy::Finished;
 
 /// Longest wait for a member's answer.
@@ -60,26 +61,46 @@
 /// Addresses of the groups' actors, shared with traffic.
 #[derive(Debug, Default)]
 pub struct Directory {
-    groups: ArcSwap<BTreeMap<Arc<str>, Address<Group>>>,
+    groups: ArcSwap<BTreeMap<Arc<str>, Entry>>,
+}
+
+/// Actor of one group.
+#[derive(Clone, Debug)]
+struct Entry {
+    address: Address<Group>,
+    /// Whether a request to refresh is under way; more of them would only fill the mailbox.
+    is_refreshing: Arc<AtomicBool>,
 }
 
 impl Directory {
     /// Waits until it is known whether finished work may be acknowledged.
     pub async fn confirm(&self, finished: Finished) -> Outcome {
         let unknown = Outcome::Unknown(Cause::Deadline);
-        let Some(address) = self.groups.load().get(&finished.group).cloned() else {
+        let Some(entry) = self.groups.load().get(&finished.group).cloned() else {
             return unknown;
         };
         let deadline = finished.deadline;
         let (sender, receiver) = oneshot::channel();
         let proof = async {
-            address.send(Confirm(finished, sender)).await.ok()?;
+            entry.address.send(Confirm(finished, sender)).await.ok()?;
             receiver.await.ok()
         };
         let proof = timeout_at(deadline.into(), proof).await;
         proof.ok().flatten().unwrap_or(unknown)
     }
 
+    /// Asks for a fresh view of a group; it is published when members have answered.
+    pub async fn refresh(&self, group: &str) {
+        let Some(entry) = self.groups.load().get(group).cloned() else {
+            return;
+        };
+        if !entry.is_refreshing.swap(true, Ordering::Relaxed) {
+            let refresh = Refresh(Arc::clone(&entry.is_refreshing));
+            // An actor that is gone has no view to refresh.
+            let _ = entry.address.send(refresh).await;
+        }
+    }
+
     /// Spawns an actor for each group of the configuration on a runtime.
     ///
     /// They end with that runtime.
@@ -106,11 +127,12 @@
         for index in 0..snapshot.groups.len() {
             let id = id::Group(index as u32);
             let name = &snapshot[id].name;
-            let address = groups
-                .entry(Arc::clone(name))
-                .or_insert_with(|| Group::spawn(parts.clone(), Arc::clone(name)));
+            let entry = groups.entry(Arc::clone(name)).or_insert_with(|| Entry {
+                address: Group::spawn(parts.clone(), Arc::clone(name)),
+                is_refreshing: Arc::default(),
+            });
             // An actor ends only with its last address, which is in this map.
-            let _ = address.send(Configured(snapshot.clone(), id)).await;
+            let _ = entry.address.send(Configured(snapshot.clone(), id)).await;
         }
         self.groups.store(Arc::new(groups));
         parts
--- a/crates/filbertbay/src/steering.rs
+++ b/crates/filbertbay/src/steering.rs
@@ -99,6 +99,10 @@
         self.published.subscribe_cut_off()
     }
 
+    async fn refresh(&self, group: &str) {
+        self.directory.refresh(group).await;
+    }
+
     async fn confirm(&self, finished: Finished) -> Outcome {
         self.directory.confirm(finished).await
     }
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -128,6 +128,8 @@
         self.cut_off.subscribe()
     }
 
+    async fn refresh(&self, _: &str) {}
+
     async fn confirm(&self, finished: Finished) -> Outcome {
         let view = self.group(&finished.group).expect("known");
         let status = view.members[finished.member]
