Take the first configuration from other instances where there are any

Ruled out: a longer jitter (spreads the load without lessening it). Change: the list of instances is read first; an instance that is then no watcher waits up to 3 s for a peer's configuration before it asks the platform. Conclusion: reads of parts grow with data centres, not with instances.

--- a/crates/filbertbay/src/control/configuration.rs
+++ b/crates/filbertbay/src/control/configuration.rs
@@ -11,12 +11,20 @@
 use filbertbay_transport::peer::Pool;
 use rand::seq::IndexedRandom;
 use slog::{Logger, info, warn};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
 use super::roster;
 use crate::published::Published;
 
+/// Longest wait for the list of instances before the configuration is asked for.
+pub const LIST_WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for the first configuration from another instance, if this one is no watcher.
+const PEER_WAIT: Duration = Duration::from_secs(3);
+
 /// Longest wait of one watch on the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(30);
 
@@ -50,10 +58,14 @@
 
 impl Configuration {
     /// Spawns the actor without a configuration, and the task that follows the platform.
+    ///
+    /// The task starts when `listed` ends, at the latest after [`LIST_WAIT`]: an instance that knows
+    /// others takes the configuration from them rather than from the platform.
     pub fn spawn(
         store: Arc<dyn Store>,
         pool: Arc<Pool>,
         published: Arc<Published>,
+        listed: oneshot::Receiver<()>,
         log: &Logger,
     ) -> Address<Self> {
         let actor = Self {
@@ -64,13 +76,11 @@
             log: log.clone(),
         };
         let address = xtra::spawn_tokio(actor, Mailbox::bounded(super::MAILBOX));
-        let repository = Repository::open(store);
-        tokio::spawn(follow(
-            repository,
-            address.downgrade(),
-            published,
-            log.clone(),
-        ));
+        let (own, log) = (address.downgrade(), log.clone());
+        tokio::spawn(async move {
+            let _ = timeout(LIST_WAIT, listed).await;
+            follow(Repository::open(store), own, published, log).await;
+        });
         address
     }
 
@@ -291,7 +301,7 @@
     }
 }
 
-/// Follows the platform while this instance is a watcher, or has no configuration yet.
+/// Follows the platform while this instance is a watcher, or got no configuration from others.
 async fn follow(
     repository: Repository,
     address: WeakAddress<Configuration>,
@@ -300,6 +310,11 @@
 ) {
     let mut follower = repository.follow(Bundle::default());
     let mut retry = RETRY_FLOOR;
+    if !roster::is_watcher(&published) {
+        let mut snapshots = published.subscribe();
+        let arrived = snapshots.wait_for(|snapshot| snapshot.version().0 > 0);
+        let _ = timeout(PEER_WAIT, arrived).await;
+    }
     loop {
         let Ok(present) = address.send(Present).await else {
             return;
--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -115,10 +115,12 @@
     } = parts;
     let log = log.new(o!("part" => "control"));
     let pool = Arc::new(Pool::new(identity.clone()));
+    let (ready, listed) = oneshot::channel();
     let configuration = Configuration::spawn(
         Arc::clone(&store),
         Arc::clone(&pool),
         Arc::clone(&published),
+        listed,
         &log,
     );
     let membership = Membership::spawn(
@@ -144,6 +146,7 @@
         Arc::clone(&store),
         Arc::clone(&published),
         membership.clone(),
+        ready,
         log.clone(),
     );
     let roster = tokio::spawn(roster);
--- a/crates/filbertbay/src/control/roster.rs
+++ b/crates/filbertbay/src/control/roster.rs
@@ -8,6 +8,7 @@
 use filbertbay_state::instance::Instance;
 use rand::Rng;
 use slog::{Logger, debug, info};
+use tokio::sync::oneshot;
 use xtra::Address;
 
 use super::membership::{Listed, Membership};
@@ -25,21 +26,24 @@
 /// Announces this instance until the platform has heard, then reads the list from time to time.
 ///
 /// Every instance reads the list once; after that only the watchers of a data centre do, so that the
-/// calls grow with data centres.
+/// calls grow with data centres. `ready` ends after the first reading, whether or not it succeeded.
 pub(super) async fn run(
     store: Arc<dyn Store>,
     published: Arc<Published>,
     membership: Address<Membership>,
+    ready: oneshot::Sender<()>,
     log: Logger,
 ) {
+    // The list comes first: while the platform is slow, other instances can already be asked.
+    let mut listed = read_list(store.as_ref(), &membership, &log).await;
+    let _ = ready.send(());
     register(store.as_ref(), published.own(), &log).await;
-    let mut listed = false;
     loop {
+        let wait = if listed { LIST_INTERVAL } else { RETRY_CEILING };
+        tokio::time::sleep(jittered(wait)).await;
         if !listed || is_watcher(&published) {
             listed |= read_list(store.as_ref(), &membership, &log).await;
         }
-        let wait = if listed { LIST_INTERVAL } else { RETRY_CEILING };
-        tokio::time::sleep(jittered(wait)).await;
     }
 }
 
--- a/crates/filbertbay/tests/control.rs
+++ b/crates/filbertbay/tests/control.rs
@@ -7,6 +7,7 @@
 
 use filbertbay::control::{Control, Parts};
 use filbertbay::published::Published;
+use filbertbay_coordination::spread::is_watcher;
 use filbertbay_protocol::platform::Store;
 use filbertbay_protocol::repository::{ErrorKind, Repository};
 use filbertbay_state::instance::{Instance, Presence};
@@ -125,6 +126,25 @@
         since.elapsed()
     }
 
+    /// Returns the names of the instances that watch the platform.
+    fn watchers(&self) -> Vec<Arc<str>> {
+        let own = self.members.iter().map(|member| member.published.own());
+        let watching = own.filter(|own| is_watcher(&own.name, self.mates(&own.data_centre)));
+        watching.map(|own| Arc::clone(&own.name)).collect()
+    }
+
+    /// Tells whether an instance that is not yet started would watch the platform.
+    fn would_watch(&self, number: usize) -> bool {
+        let own = instance(number, 1);
+        is_watcher(&own.name, self.mates(&own.data_centre))
+    }
+
+    fn mates<'a>(&'a self, data_centre: &'a str) -> impl Iterator<Item = &'a str> {
+        let own = self.members.iter().map(|member| member.published.own());
+        let mates = own.filter(move |own| *own.data_centre == *data_centre);
+        mates.map(|own| own.name.as_ref())
+    }
+
     /// Waits until every running instance lists `count` live instances.
     async fn wait_for_live(&self, count: usize) {
         let deadline = Instant::now() + Duration::from_secs(30);
@@ -187,6 +207,29 @@
     fleet.wait_for(3).await;
 }
 
+/// Instances that join a running fleet take the configuration from others, not from the platform.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn joining_instances_spare_the_platform() {
+    let mut fleet = Fleet::open().await;
+    fleet.wait_for(1).await;
+    fleet.wait_for_live(INSTANCES).await;
+    let reads = |fleet: &Fleet| fleet.platform.counters().totals.get("read").copied();
+    let before = reads(&fleet);
+    let watchers = fleet.watchers();
+    // Names that rank behind the present watchers, so that the watchers stay the same.
+    let joining = (INSTANCES..)
+        .filter(|number| !fleet.would_watch(*number))
+        .take(4);
+    for number in joining.collect::<Vec<_>>() {
+        let member = fleet.start(instance(number, 1), Vec::new()).await;
+        fleet.members.push(member);
+    }
+    fleet.wait_for(1).await;
+    fleet.wait_for_live(INSTANCES + 4).await;
+    assert_eq!(fleet.watchers(), watchers);
+    assert_eq!(reads(&fleet), before, "parts were read from the platform");
+}
+
 /// The answer to a patch is lost after it took effect: it is applied once, and spreads.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn lost_answer_applies_once() {
