--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,11 +5,13 @@
 //! the caller passes in. The daemon is one driver of these machines; tests are another.
 
 pub mod authority;
+pub mod contact;
 pub mod membership;
 pub mod queue;
 pub mod quorum;
 pub mod rendezvous;
 pub mod replica;
+pub mod seat;
 pub mod session;
 pub mod share;
 pub mod spread;
--- a/crates/filbertbay/src/caller/guard.rs
+++ b/crates/filbertbay/src/caller/guard.rs
@@ -61,24 +61,26 @@
 pub struct Guard {
     policy: Arc<dyn Policy>,
     data_centre: Arc<str>,
-    identity: Identity,
+    identity: Option<Identity>,
     changes: watch::Receiver<Snapshot>,
     phase: watch::Receiver<Phase>,
+    cut_off: watch::Receiver<bool>,
     snapshot: Snapshot,
     place: Option<Place>,
     end: Option<End>,
 }
 
 impl Guard {
-    /// Starts to watch over a session.
+    /// Starts to watch over a session; one of another instance has no identity.
     pub fn new(
         policy: Arc<dyn Policy>,
         data_centre: Arc<str>,
-        identity: Identity,
+        identity: Option<Identity>,
         phase: watch::Receiver<Phase>,
         now: Instant,
     ) -> Self {
         let changes = policy.changes();
+        let cut_off = policy.cut_off();
         let snapshot = policy.snapshot();
         let place = None;
         let end = None;
@@ -88,6 +90,7 @@
             identity,
             changes,
             phase,
+            cut_off,
             snapshot,
             place,
             end,
@@ -96,9 +99,9 @@
         guard
     }
 
-    /// Returns the identity of the caller.
-    pub fn identity(&self) -> &Identity {
-        &self.identity
+    /// Returns the identity of the caller; none for another instance.
+    pub fn identity(&self) -> Option<&Identity> {
+        self.identity.as_ref()
     }
 
     /// Returns the configuration that the session follows, and its place in it.
@@ -114,7 +117,8 @@
     /// Follows the newest configuration and phase.
     pub fn refresh(&mut self, now: Instant) {
         let is_new = self.changes.has_changed().unwrap_or(false);
-        if is_new || self.phase.has_changed().unwrap_or(false) {
+        let is_moved = self.phase.has_changed().unwrap_or(false);
+        if is_new || is_moved || self.cut_off.has_changed().unwrap_or(false) {
             self.evaluate(now);
         }
     }
@@ -124,6 +128,7 @@
         tokio::select! {
             result = self.changes.changed() => if result.is_err() { std::future::pending().await },
             result = self.phase.changed() => if result.is_err() { std::future::pending().await },
+            result = self.cut_off.changed() => if result.is_err() { std::future::pending().await },
         }
         // The next refresh must see the change that this call has consumed.
         self.changes.mark_changed();
@@ -132,11 +137,14 @@
     fn evaluate(&mut self, now: Instant) {
         self.changes.mark_unchanged();
         let phase = *self.phase.borrow_and_update();
+        let is_cut_off = *self.cut_off.borrow_and_update();
         self.snapshot = self.policy.snapshot();
-        self.place = locate(&self.snapshot, &self.identity);
-        let refusal = self.refusal(phase);
+        let identity = self.identity.as_ref();
+        self.place = identity.and_then(|who| locate(&self.snapshot, who));
+        // Another instance decides for itself whether it is cut off.
+        let refusal = self.refusal(phase, is_cut_off && identity.is_some());
         let limit = match phase {
-            Phase::Draining(limit) if self.place.is_some() => limit,
+            Phase::Draining(limit) if self.has_right() => limit,
             _ => now + GRACE,
         };
         self.end = match (refusal, self.end.take()) {
@@ -149,19 +157,29 @@
         };
     }
 
-    fn refusal(&self, phase: Phase) -> Option<Refusal> {
+    /// Returns whether the caller may go on; another instance always may.
+    fn has_right(&self) -> bool {
+        self.identity.is_none() || self.place.is_some()
+    }
+
+    fn refusal(&self, phase: Phase, is_cut_off: bool) -> Option<Refusal> {
         let centre = self.snapshot.data_centre(&self.data_centre);
         let is_out = centre.is_some_and(|id| self.snapshot[id].availability == Availability::Out);
-        if self.place.is_none() {
+        if !self.has_right() {
             Some(Refusal::new(
                 State::Withdrawn,
                 "the key or the route was withdrawn",
             ))
-        } else if is_out {
+        } else if is_out && self.identity.is_some() {
             Some(Refusal::new(
                 State::Leaving,
                 "the data centre is taken out; connect again",
             ))
+        } else if is_cut_off && self.identity.as_ref().is_some_and(|who| who.key.is_some()) {
+            Some(Refusal::new(
+                State::Leaving,
+                "the instance is cut off and can't check the key; connect elsewhere",
+            ))
         } else if phase != Phase::Serving {
             Some(Refusal::new(
                 State::Leaving,
--- a/crates/filbertbay/src/steering.rs
+++ b/crates/filbertbay/src/steering.rs
@@ -95,6 +95,14 @@
         self.published.subscribe()
     }
 
+    fn cut_off(&self) -> watch::Receiver<bool> {
+        self.published.subscribe_cut_off()
+    }
+
+    async fn refresh(&self, group: &str) {
+        self.directory.refresh(group).await;
+    }
+
     async fn confirm(&self, finished: Finished) -> Outcome {
         self.directory.confirm(finished).await
     }
