Do not shrink the seeds of histories

Cause: a failing history was followed by minutes of shrinking its seed, which yields other histories but no simpler one. Ruled out: a bound on the time of the test. Change: the seed is a type of its own without a shrinker.

--- a/crates/coordination/tests/histories.rs
+++ b/crates/coordination/tests/histories.rs
@@ -7,6 +7,17 @@
 
 use filbertbay_state::document::Durability;
 use model::{Shape, World};
+use quickcheck::{Arbitrary, Gen};
+
+/// Seed of a history; it does not shrink, for a smaller seed is not a simpler history.
+#[derive(Clone, Copy, Debug)]
+struct Seed(u64);
+
+impl Arbitrary for Seed {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(u64::arbitrary(g))
+    }
+}
 
 const ROUGH: Shape = Shape {
     members: 3,
@@ -60,19 +71,19 @@
 
 #[test]
 fn three_members() {
-    fn property(seed: u64) -> bool {
+    fn property(Seed(seed): Seed) -> bool {
         holds(ROUGH, seed)
     }
-    check::runner(64).quickcheck(property as fn(u64) -> bool);
+    check::runner(64).quickcheck(property as fn(Seed) -> bool);
 }
 
 #[test]
 fn five_members() {
-    fn property(seed: u64) -> bool {
+    fn property(Seed(seed): Seed) -> bool {
         let members = 5;
         holds(Shape { members, ..ROUGH }, seed)
     }
-    check::runner(64).quickcheck(property as fn(u64) -> bool);
+    check::runner(64).quickcheck(property as fn(Seed) -> bool);
 }
 
 #[test]
