--- a/crates/filbertbay/src/lib.rs
+++ b/crates/filbertbay/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod metric;
 pub mod pool;
 pub mod published;
+pub mod seats;
 pub mod settings;
 pub mod steering;
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use filbertbay::caller::guard::Phase;
 use filbertbay::caller::policy::{Demand, Finished, Policy};
+use filbertbay::caller::startup::Door;
 use filbertbay::caller::{self, Handle, Shared};
 use filbertbay::pool::{self, Pool};
 use filbertbay_coordination::authority::confirm::{Cause, Outcome};
@@ -200,11 +201,12 @@
     let shared = Shared {
         policy: Arc::clone(&control) as Arc<dyn Policy>,
         pool: Arc::new(Pool::new(config.connections(options.connections))),
-        signer: Signer::new(token::Config::default(), secrets).expect("the secret is long"),
+        signer: Arc::new(Signer::new(token::Config::default(), secrets).expect("long")),
         replicas: replica::Config::default(),
         data_centre: "quimper".into(),
         registry: Arc::default(),
         startup_timeout: STARTUP_TIMEOUT,
+        peer_secret: Digest::of(PASSWORD),
         tls: None,
         phase: phase_receiver,
         log: Logger::root(slog::Discard, o!()),
@@ -213,7 +215,12 @@
     let listener = TcpListener::bind::<SocketAddr>(address)
         .await
         .expect("the port is free");
-    let callers = caller::spawn(Arc::new(shared), listener, options.max_callers);
+    let callers = caller::spawn(
+        Arc::new(shared),
+        Door::Callers,
+        listener,
+        options.max_callers,
+    );
     let callers = callers.expect("the listener is bound");
     Fixture {
         group,
@@ -223,7 +230,8 @@
     }
 }
 
-fn document(group: &group::Handle) -> Document {
+/// Returns the configuration of a group, one route and two workspaces.
+pub fn document(group: &group::Handle) -> Document {
     let members: Vec<String> = group.members().iter().map(member_text).collect();
     let text = format!(
         r#"{{"data_centres": {{"quimper": {{"region": "west"}}, "nantes": {{"region": "south"}},
@@ -244,10 +252,11 @@
 
 fn member_text(member: &Arc<group::Member>) -> String {
     format!(
-        r#""{}": {{"data_centre": "{}", "address": "{}", "connections": 32, "slots": 4}}"#,
+        r#""{}": {{"data_centre": "{}", "address": "{}", "connections": {}, "slots": 4}}"#,
         member.name(),
         member.data_centre(),
-        member.address()
+        member.address(),
+        member.connections()
     )
 }
 
