--- a/crates/filbertbay/src/caller/guard.rs
+++ b/crates/filbertbay/src/caller/guard.rs
@@ -61,7 +61,7 @@
 pub struct Guard {
     policy: Arc<dyn Policy>,
     data_centre: Arc<str>,
-    identity: Identity,
+    identity: Option<Identity>,
     changes: watch::Receiver<Snapshot>,
     phase: watch::Receiver<Phase>,
     cut_off: watch::Receiver<bool>,
@@ -71,11 +71,11 @@
 }
 
 impl Guard {
-    /// Starts to watch over a session.
+    /// Starts to watch over a session; one of another instance has no identity.
     pub fn new(
         policy: Arc<dyn Policy>,
         data_centre: Arc<str>,
-        identity: Identity,
+        identity: Option<Identity>,
         phase: watch::Receiver<Phase>,
         now: Instant,
     ) -> Self {
@@ -99,9 +99,9 @@
         guard
     }
 
-    /// Returns the identity of the caller.
-    pub fn identity(&self) -> &Identity {
-        &self.identity
+    /// Returns the identity of the caller; none for another instance.
+    pub fn identity(&self) -> Option<&Identity> {
+        self.identity.as_ref()
     }
 
     /// Returns the configuration that the session follows, and its place in it.
@@ -139,10 +139,12 @@
         let phase = *self.phase.borrow_and_update();
         let is_cut_off = *self.cut_off.borrow_and_update();
         self.snapshot = self.policy.snapshot();
-        self.place = locate(&self.snapshot, &self.identity);
-        let refusal = self.refusal(phase, is_cut_off);
+        let identity = self.identity.as_ref();
+        self.place = identity.and_then(|who| locate(&self.snapshot, who));
+        // Another instance decides for itself whether it is cut off.
+        let refusal = self.refusal(phase, is_cut_off && identity.is_some());
         let limit = match phase {
-            Phase::Draining(limit) if self.place.is_some() => limit,
+            Phase::Draining(limit) if self.has_right() => limit,
             _ => now + GRACE,
         };
         self.end = match (refusal, self.end.take()) {
@@ -155,20 +157,25 @@
         };
     }
 
+    /// Returns whether the caller may go on; another instance always may.
+    fn has_right(&self) -> bool {
+        self.identity.is_none() || self.place.is_some()
+    }
+
     fn refusal(&self, phase: Phase, is_cut_off: bool) -> Option<Refusal> {
         let centre = self.snapshot.data_centre(&self.data_centre);
         let is_out = centre.is_some_and(|id| self.snapshot[id].availability == Availability::Out);
-        if self.place.is_none() {
+        if !self.has_right() {
             Some(Refusal::new(
                 State::Withdrawn,
                 "the key or the route was withdrawn",
             ))
-        } else if is_out {
+        } else if is_out && self.identity.is_some() {
             Some(Refusal::new(
                 State::Leaving,
                 "the data centre is taken out; connect again",
             ))
-        } else if is_cut_off && self.identity.key.is_some() {
+        } else if is_cut_off && self.identity.as_ref().is_some_and(|who| who.key.is_some()) {
             Some(Refusal::new(
                 State::Leaving,
                 "the instance is cut off and can't check the key; connect elsewhere",
