--- a/crates/protocol/tests/snapshot.rs
+++ b/crates/protocol/tests/snapshot.rs
@@ -83,7 +83,7 @@
 /// Checks that a version holds a document, in the parts that it needs and no other.
 fn check_stored(bundle: &Bundle, model: &Document) {
     assert_eq!(bundle.document().unwrap(), *model);
-    let needed = part::changed(&Document::default(), model);
+    let needed = part::split(model);
     let parts = bundle.head().parts.iter().map(|part| &part.name);
     assert!(parts.eq(needed.keys()));
 }
--- a/crates/state/src/part.rs
+++ b/crates/state/src/part.rs
@@ -74,6 +74,19 @@
     hex::encode(Sha256::digest(bytes)).into()
 }
 
+/// Splits a document into the contents of its parts, by name.
+///
+/// # Examples
+///
+/// ```
+/// use filbertbay_state::{document::Document, part};
+///
+/// assert!(part::split(&Document::default()).is_empty());
+/// ```
+pub fn split(document: &Document) -> BTreeMap<Arc<str>, Document> {
+    changed(&Document::default(), document)
+}
+
 /// Returns the contents of the parts in which two documents differ, by name, as `after` has them.
 ///
 /// A part that `after` no longer needs is there with no items.
