--- a/crates/coordination/src/seat.rs
+++ b/crates/coordination/src/seat.rs
@@ -93,7 +93,7 @@
     fn default() -> Self {
         Self {
             settle: Duration::from_millis(250),
-            repeat: Duration::from_secs(2),
+            repeat: Duration::from_millis(500),
             stagger: Duration::from_millis(150),
         }
     }
--- a/crates/filbertbay/src/caller.rs
+++ b/crates/filbertbay/src/caller.rs
@@ -10,7 +10,6 @@
 pub mod relay;
 pub mod session;
 pub mod startup;
-pub mod stream;
 pub mod work;
 
 use std::net::SocketAddr;
@@ -20,13 +19,16 @@
 use filbertbay_coordination::replica;
 use filbertbay_protocol::token::Signer;
 use filbertbay_state::key::Digest;
+use filbertbay_transport::stream::Stream;
 use filbertbay_transport::tls;
+use filbertbay_transport::wire::Codec;
 use metrics::{counter, gauge};
 use slog::{Logger, debug, warn};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
 
 use self::answer::{Refusal, State};
 use self::guard::Phase;
@@ -40,6 +42,9 @@
 /// Time that a refused caller has to take the reason.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Messages of a caller.
+pub type Caller = Framed<Stream, Codec>;
+
 /// What all sessions of an instance share.
 #[derive(Clone, Debug)]
 pub struct Shared {
@@ -59,7 +64,7 @@
     pub startup_timeout: Duration,
     /// Digest of the password that other instances present.
     pub peer_secret: Digest,
-    /// TLS towards callers.
+    /// TLS towards the other side of the listener.
     pub tls: Option<Arc<tls::Identity>>,
     /// Phase of the instance.
     pub phase: watch::Receiver<Phase>,
@@ -70,8 +75,13 @@
 impl Shared {
     /// Returns what sessions of other instances share; they end later than those of callers.
     #[must_use]
-    pub fn for_peers(&self, phase: watch::Receiver<Phase>) -> Self {
+    pub fn for_peers(
+        &self,
+        phase: watch::Receiver<Phase>,
+        tls: Option<Arc<tls::Identity>>,
+    ) -> Self {
         Self {
+            tls,
             phase,
             ..self.clone()
         }
--- a/crates/filbertbay/src/caller/relay.rs
+++ b/crates/filbertbay/src/caller/relay.rs
@@ -17,9 +17,8 @@
 use tokio::time::{sleep_until, timeout_at};
 
 use super::guard::Guard;
-use super::stream::Caller;
 use super::work::{self, Step, Work};
-use super::{answer, cancel};
+use super::{Caller, answer, cancel};
 use crate::pool::{Connection, Prepared};
 
 /// Bytes of messages that are sent before their answers are read.
--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -20,9 +20,8 @@
 use super::guard::Guard;
 use super::policy::{Demand, Finished};
 use super::relay::{Cause, End, Hold, Relay};
-use super::stream::Caller;
 use super::work::{Step, Work};
-use super::{Shared, cancel};
+use super::{Caller, Shared, cancel};
 use crate::pool::{Lease, Prepared};
 
 /// Parameter that carries what the session has seen to another instance.
--- a/crates/filbertbay/src/caller/startup.rs
+++ b/crates/filbertbay/src/caller/startup.rs
@@ -8,6 +8,7 @@
 use filbertbay_state::key::Digest;
 use filbertbay_state::snapshot::Snapshot;
 use filbertbay_transport::endpoint::MEMBER_PARAMETER;
+use filbertbay_transport::stream::Stream;
 use filbertbay_transport::tls;
 use filbertbay_transport::wire::{Codec, Frame, kind};
 use futures::{SinkExt, StreamExt};
@@ -24,8 +25,7 @@
 use super::answer::{self, Refusal, State};
 use super::guard::{self, Guard, Identity};
 use super::session::{Purpose, Session, Start, TOKEN_PARAMETER};
-use super::stream::{Caller, Stream};
-use super::{Shared, cancel};
+use super::{Caller, Shared, cancel};
 
 /// Longest message of a startup, in bytes.
 const MAX_STARTUP_BYTES: usize = 10_000;
@@ -117,7 +117,7 @@
         };
         let code = (&body[..]).get_u32();
         match code {
-            TLS_REQUEST if is_first => stream = secure(shared, door, stream).await?,
+            TLS_REQUEST if is_first => stream = secure(shared, stream).await?,
             GSS_REQUEST if is_first => stream.write_all(b"N").await?,
             CANCEL_REQUEST => {
                 cancel(shared, &body).await;
@@ -141,15 +141,18 @@
     Ok(Some(body))
 }
 
-async fn secure(shared: &Shared, door: Door, mut stream: Stream) -> Result<Stream, Failure> {
-    let Some(identity) = shared.tls.as_ref().filter(|_| door == Door::Callers) else {
+async fn secure(shared: &Shared, mut stream: Stream) -> Result<Stream, Failure> {
+    let Some(identity) = &shared.tls else {
         stream.write_all(b"N").await?;
         return Ok(stream);
     };
     let acceptor = identity.acceptor()?;
     stream.write_all(b"S").await?;
     match stream {
-        Stream::Plain(socket) => Ok(Stream::Tls(Box::new(acceptor.accept(socket).await?))),
+        Stream::Plain(socket) => {
+            let accepted = acceptor.accept(socket).await?;
+            Ok(Stream::Tls(Box::new(accepted.into())))
+        }
         Stream::Tls(_) => Err(Failure::Gone),
     }
 }
@@ -178,6 +181,11 @@
         Err(refusal) => return Err(Failure::Refused(Box::new(stream), refusal)),
     };
     negotiate(&mut stream, &startup).await?;
+    let is_private = matches!(stream, Stream::Tls(_)) || shared.tls.is_none();
+    if door == Door::Peers && !is_private {
+        let refusal = Refusal::new(State::Protocol, "other instances must use TLS");
+        return Err(Failure::Refused(Box::new(stream), refusal));
+    }
     let mut caller = Framed::new(stream, Codec::new(MAX_STARTUP_BYTES));
     let admitted = match door {
         Door::Callers => admit_caller(shared, &mut caller, &startup).await?,
--- a/crates/filbertbay/src/control/group/directory.rs
+++ b/crates/filbertbay/src/control/group/directory.rs
@@ -53,6 +53,7 @@
             password: Arc::clone(&self.password),
             application: Arc::clone(&self.application),
             member: None,
+            tls: None,
         };
         Arc::new(Control::new(target, ANSWER_TIMEOUT))
     }
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -95,11 +95,13 @@
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let steering = Steering::spawn(Arc::clone(&published), directory);
     let ranking = Arc::new(Ranking::new(Arc::clone(&published)));
-    let pool = Arc::new(Pool::new(pool_config(&settings)).directory(ranking));
+    let peer_tls = identity(settings.peer_tls.as_ref())?;
+    let config = pool_config(&settings).peer_tls(peer_tls.clone());
+    let pool = Arc::new(Pool::new(config).directory(ranking));
     let seats = seats::spawn(Arc::clone(&pool), Arc::clone(&published));
     let shared = shared(&settings, &steering, &pool, phase_receiver.clone(), &log)?;
     let (peer_phase, peer_receiver) = watch::channel(Phase::Serving);
-    let for_peers = Arc::new(shared.for_peers(peer_receiver));
+    let for_peers = Arc::new(shared.for_peers(peer_receiver, peer_tls));
     let peers = caller::spawn(for_peers, Door::Peers, forwards, settings.max_callers)?;
     let metrics = metric::spawn(metrics, phase_receiver)?;
     let callers = caller::spawn(shared, Door::Callers, listener, settings.max_callers)?;
@@ -221,10 +223,6 @@
         .iter()
         .map(|secret| hex::decode(secret.as_ref()));
     let secrets: Vec<Vec<u8>> = secrets.map(Result::unwrap_or_default).collect();
-    let tls = settings
-        .caller_tls
-        .as_ref()
-        .map(|tls| Identity::open(files(tls), None));
     Ok(Arc::new(Shared {
         policy: Arc::clone(steering) as Arc<dyn caller::policy::Policy>,
         pool: Arc::clone(pool),
@@ -234,7 +232,7 @@
         registry: Arc::default(),
         startup_timeout: caller::startup::STARTUP_TIMEOUT,
         peer_secret: Digest::of(&settings.endpoint_password),
-        tls: tls.transpose()?.map(Arc::new),
+        tls: identity(settings.caller_tls.as_ref())?,
         phase,
         log: log.clone(),
     }))
@@ -248,6 +246,11 @@
     )
 }
 
+fn identity(tls: Option<&Tls>) -> Result<Option<Arc<Identity>>, Error> {
+    let identity = tls.map(|tls| Identity::open(files(tls), None));
+    Ok(identity.transpose()?.map(Arc::new))
+}
+
 fn files(tls: &Tls) -> tls::Files {
     tls::Files {
         certificate: tls.certificate.clone(),
--- a/crates/filbertbay/src/pool.rs
+++ b/crates/filbertbay/src/pool.rs
@@ -22,6 +22,7 @@
 use filbertbay_coordination::seat::Plan;
 use filbertbay_coordination::view;
 use filbertbay_transport::endpoint::{self, Target};
+use filbertbay_transport::tls::Identity;
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
@@ -47,6 +48,7 @@
     user: Arc<str>,
     password: Arc<str>,
     application: Arc<str>,
+    peer_tls: Option<Arc<Identity>>,
     connect_timeout: Duration,
     connections: usize,
 }
@@ -58,11 +60,19 @@
             user,
             password,
             application,
+            peer_tls: None,
             connect_timeout: Duration::from_secs(2),
             connections: 2,
         }
     }
 
+    /// Sets the identity that other instances are shown; without it links to them are in the clear.
+    #[must_use]
+    pub fn peer_tls(mut self, identity: Option<Arc<Identity>>) -> Self {
+        self.peer_tls = identity;
+        self
+    }
+
     /// Sets the longest wait for one connection to open.
     #[must_use]
     pub fn connect_timeout(mut self, timeout: Duration) -> Self {
@@ -179,11 +189,13 @@
         }
     }
 
-    /// Gives up the seat of a member, if this instance holds one.
-    pub fn release_seat(&self, group: &Arc<str>, member: &view::Member) {
+    /// Asks no longer for a seat of a member, unless the member has given one.
+    pub fn stop_asking(&self, group: &Arc<str>, member: &view::Member) {
         let member = self.member(group, member);
-        *member.seat.lock() = None;
-        member.close_own();
+        let mut seat = member.seat.lock();
+        if seat.as_ref().is_some_and(|task| !task.is_locked()) {
+            *seat = None;
+        }
     }
 
     /// Returns whether this instance may open connections to a member.
@@ -320,6 +332,7 @@
             let target = Target {
                 address: *address,
                 member: Some(Arc::clone(&view.name)),
+                tls: self.config.peer_tls.clone(),
                 ..member.target.clone()
             };
             if let Ok(connection) = self.open_once(&target, deadline).await {
@@ -380,6 +393,7 @@
             password: Arc::clone(&self.config.password),
             application: Arc::clone(&self.config.application),
             member: None,
+            tls: None,
         }
     }
 }
--- a/crates/filbertbay/src/pool/seat.rs
+++ b/crates/filbertbay/src/pool/seat.rs
@@ -1,6 +1,7 @@
 //! Task that holds a seat of one member.
 
-use std::sync::Weak;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::seat::{Action, Config, Decider, Event, Plan};
@@ -18,7 +19,8 @@
 #[derive(Debug)]
 pub(super) struct Task {
     plan: Plan,
-    task: JoinHandle<()>,
+    locked: Arc<AtomicBool>,
+    handle: JoinHandle<()>,
 }
 
 impl Task {
@@ -26,22 +28,32 @@
     pub(super) fn plan(&self) -> Plan {
         self.plan
     }
+
+    /// Returns whether the member has given a lock.
+    pub(super) fn is_locked(&self) -> bool {
+        self.locked.load(Ordering::Acquire)
+    }
 }
 
 impl Drop for Task {
     fn drop(&mut self) {
-        self.task.abort();
+        self.handle.abort();
     }
 }
 
 /// Starts to ask for a seat, and to hold it once it was given.
 pub(super) fn spawn(member: Weak<Member>, plan: Plan, rank: u32) -> Task {
     let decider = Decider::new(Config::default(), plan, rank, Instant::now());
-    let task = tokio::spawn(hold(member, decider));
-    Task { plan, task }
+    let locked = Arc::new(AtomicBool::new(false));
+    let handle = tokio::spawn(hold(member, decider, Arc::clone(&locked)));
+    Task {
+        plan,
+        locked,
+        handle,
+    }
 }
 
-async fn hold(member: Weak<Member>, mut decider: Decider) {
+async fn hold(member: Weak<Member>, mut decider: Decider, locked: Arc<AtomicBool>) {
     let mut connection = None;
     loop {
         let deadline = decider.next_deadline();
@@ -69,6 +81,7 @@
             }
             break;
         }
+        locked.store(!decider.is_waiting(), Ordering::Release);
         // Without a lock the connection only takes a place that another instance may need.
         if decider.is_waiting() {
             connection = None;
--- a/crates/filbertbay/src/seats.rs
+++ b/crates/filbertbay/src/seats.rs
@@ -77,7 +77,13 @@
         let ranking = Ranking::new(Arc::clone(&published));
         loop {
             let snapshot = published.snapshot();
-            for index in 0..snapshot.members.len() {
+            // A draining instance keeps its seats until its work and that of others has ended.
+            let count = if published.is_draining() {
+                0
+            } else {
+                snapshot.members.len()
+            };
+            for index in 0..count {
                 settle(&pool, &ranking, &snapshot, id::Member(index as u32));
             }
             sleep(INTERVAL).await;
@@ -96,9 +102,8 @@
     let wanted = plan.seats() as usize + SPARE;
     match rank.filter(|rank| *rank < wanted) {
         Some(rank) => pool.hold_seat(group, &view, plan, rank as u32),
-        // A seat that works is kept until the instance leaves.
-        None if pool.has_seat(group, &view) && rank.is_some() => {}
-        None => pool.release_seat(group, &view),
+        // A seat that was given is kept until the instance leaves.
+        None => pool.stop_asking(group, &view),
     }
 }
 
--- /dev/null
+++ b/crates/filbertbay/tests/common/authority.rs
@@ -0,0 +1,26 @@
+//! Certificates for tests.
+
+use std::path::Path;
+
+use filbertbay_transport::tls::Files;
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+
+/// Writes a certificate for 127.0.0.1, its key and its authority into a directory.
+pub fn write(directory: &Path) -> Files {
+    let mut params = CertificateParams::new(Vec::new()).expect("no names");
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().expect("a key");
+    let issuer = CertifiedIssuer::self_signed(params, key).expect("signed");
+    let key = KeyPair::generate().expect("a key");
+    let params = CertificateParams::new(vec!["127.0.0.1".to_owned()]).expect("an address");
+    let certificate = params.signed_by(&key, &issuer).expect("signed");
+    let path = |name: &str| directory.join(name);
+    std::fs::write(path("certificate.pem"), certificate.pem()).expect("written");
+    std::fs::write(path("key.pem"), key.serialize_pem()).expect("written");
+    std::fs::write(path("authorities.pem"), issuer.pem()).expect("written");
+    Files {
+        certificate: path("certificate.pem"),
+        key: path("key.pem"),
+        authorities: Some(path("authorities.pem")),
+    }
+}
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod authority;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,6 +24,7 @@
 use filbertbay_state::snapshot::Snapshot;
 use filbertbay_state::status::Role;
 use filbertbay_state::version::Version;
+use filbertbay_transport::tls::Identity;
 use parking_lot::Mutex;
 use slog::{Logger, o};
 use standin::group;
@@ -161,6 +164,7 @@
     pub connections: usize,
     pub max_callers: usize,
     pub slots: u32,
+    pub tls: Option<Arc<Identity>>,
 }
 
 impl Default for Options {
@@ -169,6 +173,7 @@
             connections: 4,
             max_callers: 100,
             slots: 4,
+            tls: None,
         }
     }
 }
@@ -207,7 +212,7 @@
         registry: Arc::default(),
         startup_timeout: STARTUP_TIMEOUT,
         peer_secret: Digest::of(PASSWORD),
-        tls: None,
+        tls: options.tls,
         phase: phase_receiver,
         log: Logger::root(slog::Discard, o!()),
     };
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use common::{DEADLINE, Fixture, KEY, OTHER_KEY, Options, connect, spawn, state};
+use common::{DEADLINE, Fixture, KEY, OTHER_KEY, Options, authority, connect, spawn, state};
+use std::sync::Arc;
+
+use filbertbay_transport::endpoint::{Connection, Target, read_row};
+use filbertbay_transport::tls::{Files, Identity};
 use futures::future::join_all;
 use tokio::time::timeout;
 use tokio_postgres::types::Type;
@@ -290,3 +294,33 @@
     }
     assert!(!fixture.group.primary().received().is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_may_use_tls() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let files = authority::write(directory.path());
+    let server = Files {
+        authorities: None,
+        ..files.clone()
+    };
+    let server = Arc::new(Identity::open(server, None).expect("usable"));
+    let options = Options {
+        tls: Some(server),
+        ..Options::default()
+    };
+    let fixture = spawn(options).await;
+    let target = Target {
+        address: fixture.callers.address(),
+        database: "orders".into(),
+        user: "shop".into(),
+        password: KEY.into(),
+        application: "test".into(),
+        member: None,
+        tls: Some(Arc::new(Identity::open(files, None).expect("usable"))),
+    };
+    let mut caller = Connection::open(&target, DEADLINE)
+        .await
+        .expect("taken over TLS");
+    let frames = caller.query("SELECT 7").await.expect("answered");
+    assert_eq!(read_row(&frames).expect("a row"), [Some("7".to_owned())]);
+}
--- a/crates/filbertbay/src/caller/stream.rs
+++ b/crates/transport/src/stream.rs
@@ -1,18 +1,13 @@
-//! Connection of a caller, in the clear or over TLS.
+//! Byte streams, in the clear or over TLS.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use filbertbay_transport::wire::Codec;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio_rustls::server::TlsStream;
-use tokio_util::codec::Framed;
+use tokio_rustls::TlsStream;
 
-/// Messages of a caller.
-pub type Caller = Framed<Stream, Codec>;
-
-/// Byte stream of a caller.
+/// Byte stream to another process.
 #[derive(Debug)]
 pub enum Stream {
     /// In the clear.
@@ -21,6 +16,16 @@
     Tls(Box<TlsStream<TcpStream>>),
 }
 
+impl Stream {
+    /// Returns the socket beneath.
+    pub fn socket(&self) -> &TcpStream {
+        match self {
+            Self::Plain(socket) => socket,
+            Self::Tls(stream) => stream.get_ref().0,
+        }
+    }
+}
+
 macro_rules! delegate {
     ($self:ident, $method:ident($($argument:expr),*)) => {
         match $self.get_mut() {
