Show that adopting an equal record of holders changes nothing

Ruled out: adopt. A new test adopts an equal record 400 times in 20 s at the full rate: 1,000 of 1,000 statements ran, none was refused. Before and after: the ledger's code is unchanged. Conclusion: the cause lies outside adopt.

--- a/crates/coordination/tests/share.rs
+++ b/crates/coordination/tests/share.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::share::Allocation;
 use filbertbay_state::document::Rate;
 use fleet::Fleet;
 use quickcheck::{Arbitrary, Gen};
@@ -279,3 +280,20 @@
     let property = skewed_load_inside_the_rate_is_served as fn(Skew, bool) -> bool;
     check::runner(9).quickcheck(property);
 }
+
+#[test]
+fn adopting_the_same_record_again_changes_nothing() {
+    let mut fleet = Fleet::start(1, 1, &rates());
+    fleet.pass(Duration::from_secs(1));
+    let record = || Arc::new(Allocation::even(&[("instance-0", 1, "centre-0")]));
+    // Ten statements each 200 ms are the whole rate of 50 a second.
+    for step in 0..400 {
+        fleet.adopt(&record());
+        if step % 4 == 0 {
+            (0..10).for_each(|_| fleet.arrive(0, &name(0)));
+        }
+        fleet.pass(Duration::from_millis(50));
+    }
+    assert_eq!(fleet.refused.get(&name(0)), None);
+    assert_eq!(fleet.admitted[&name(0)].len(), 1_000);
+}
