--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -11,27 +11,39 @@
 use filbertbay_protocol::platform;
 use filbertbay_protocol::token::{self, Signer};
 use filbertbay_state::instance::{Instance, Presence};
+use filbertbay_state::key::Digest;
 use filbertbay_transport::peer;
 use filbertbay_transport::platform::Client;
 use filbertbay_transport::tls::{self, Identity};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::caller::guard::Phase;
+use crate::caller::startup::Door;
 use crate::caller::{self, Shared};
 use crate::control::group::{self, Credentials, Directory};
 use crate::control::{self, Control};
 use crate::metric;
 use crate::pool::{self, Pool};
 use crate::published::Published;
+use crate::seats::{self, Ranking};
 use crate::settings::{Settings, Tls};
 use crate::steering::Steering;
 
 /// Time after the drain's limit in which sessions say farewell.
 const FAREWELL: Duration = Duration::from_secs(3);
 
+/// Ports that are tried for control links where the settings leave the choice.
+const MAX_PORTS: u32 = 10;
+
+/// Time in which other instances hear that this one leaves.
+const PEERS_HEAR: Duration = Duration::from_secs(1);
+
+/// Time that work of other instances has to finish after that.
+const PEERS_FINISH: Duration = Duration::from_secs(5);
+
 /// Failure to start a daemon.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 #[non_exhaustive]
@@ -57,6 +69,9 @@
     phase: watch::Sender<Phase>,
     published: Arc<Published>,
     callers: caller::Handle,
+    peers: caller::Handle,
+    peer_phase: watch::Sender<Phase>,
+    seats: seats::Handle,
     steering: Arc<Steering>,
     metrics: metric::Handle,
     control: Control,
@@ -73,17 +88,23 @@
     metric::install();
     let listener = TcpListener::bind(settings.callers).await?;
     let metrics = TcpListener::bind(settings.metrics).await?;
-    let instance = announce(&settings, listener.local_addr()?).await?;
-    let published = Arc::new(Published::new(instance.clone()));
+    let forwards = TcpListener::bind(settings.forwards).await?;
+    let bound = (listener.local_addr()?, forwards.local_addr()?);
+    let (published, control, directory) = start_control(&settings, bound, &log).await?;
+    let instance = published.own().clone();
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
-    let parts = control_parts(&settings, &published, &log)?;
-    let group_parts = group_parts(&settings, &parts);
-    let control = Control::spawn(parts).await?;
-    let directory = Directory::spawn(control.runtime(), group_parts);
     let steering = Steering::spawn(Arc::clone(&published), directory);
-    let shared = shared(&settings, &steering, phase_receiver.clone(), &log)?;
+    let ranking = Arc::new(Ranking::new(Arc::clone(&published)));
+    let peer_tls = identity(settings.peer_tls.as_ref())?;
+    let config = pool_config(&settings).peer_tls(peer_tls.clone());
+    let pool = Arc::new(Pool::new(config).directory(ranking));
+    let seats = seats::spawn(Arc::clone(&pool), Arc::clone(&published));
+    let shared = shared(&settings, &steering, &pool, phase_receiver.clone(), &log)?;
+    let (peer_phase, peer_receiver) = watch::channel(Phase::Serving);
+    let for_peers = Arc::new(shared.for_peers(peer_receiver, peer_tls));
+    let peers = caller::spawn(for_peers, Door::Peers, forwards, settings.max_callers)?;
     let metrics = metric::spawn(metrics, phase_receiver)?;
-    let callers = caller::spawn(shared, listener, settings.max_callers)?;
+    let callers = caller::spawn(shared, Door::Callers, listener, settings.max_callers)?;
     info!(log, "instance started"; "callers" => %callers.address(), "metrics" => %metrics.address());
     let drain = Duration::from_millis(settings.drain_ms);
     Ok(Handle {
@@ -91,6 +112,9 @@
         phase,
         published,
         callers,
+        peers,
+        peer_phase,
+        seats,
         steering,
         metrics,
         control,
@@ -99,8 +123,42 @@
     })
 }
 
+/// Starts the control thread.
+///
+/// With port zero for control links another process may take the port that was found free; then the
+/// next one is tried.
+async fn start_control(
+    settings: &Settings,
+    bound: (SocketAddr, SocketAddr),
+    log: &Logger,
+) -> Result<(Arc<Published>, Control, Arc<Directory>), Error> {
+    let mut attempt = 1;
+    loop {
+        let instance = announce(settings, bound).await?;
+        let published = Arc::new(Published::new(instance));
+        let parts = control_parts(settings, &published, log)?;
+        let group_parts = group_parts(settings, &parts);
+        match Control::spawn(parts).await {
+            Ok(control) => {
+                let directory = Directory::spawn(control.runtime(), group_parts);
+                return Ok((published, control, directory));
+            }
+            Err(error) => {
+                let was_taken = error.kind() == std::io::ErrorKind::AddrInUse;
+                if !was_taken || settings.peers.port() != 0 || attempt == MAX_PORTS {
+                    return Err(error.into());
+                }
+            }
+        }
+        attempt += 1;
+    }
+}
+
 /// Returns the instance with the addresses that are in fact used.
-async fn announce(settings: &Settings, callers: SocketAddr) -> Result<Instance, Error> {
+async fn announce(
+    settings: &Settings,
+    (callers, forwards): (SocketAddr, SocketAddr),
+) -> Result<Instance, Error> {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     Ok(Instance {
         name: Arc::clone(&settings.name),
@@ -108,7 +166,7 @@
         data_centre: Arc::clone(&settings.data_centre),
         callers,
         peers: free(settings.peers).await?,
-        forwards: free(settings.forwards).await?,
+        forwards,
         presence: Presence::Live,
     })
 }
@@ -156,6 +214,7 @@
 fn shared(
     settings: &Settings,
     steering: &Arc<Steering>,
+    pool: &Arc<Pool>,
     phase: watch::Receiver<Phase>,
     log: &Logger,
 ) -> Result<Arc<Shared>, Error> {
@@ -164,29 +223,34 @@
         .iter()
         .map(|secret| hex::decode(secret.as_ref()));
     let secrets: Vec<Vec<u8>> = secrets.map(Result::unwrap_or_default).collect();
-    let config = pool::Config::new(
-        Arc::clone(&settings.endpoint_user),
-        Arc::clone(&settings.endpoint_password),
-        Arc::clone(&settings.name),
-    );
-    let tls = settings
-        .caller_tls
-        .as_ref()
-        .map(|tls| Identity::open(files(tls), None));
     Ok(Arc::new(Shared {
         policy: Arc::clone(steering) as Arc<dyn caller::policy::Policy>,
-        pool: Arc::new(Pool::new(config)),
-        signer: Signer::new(token::Config::default(), secrets)?,
+        pool: Arc::clone(pool),
+        signer: Arc::new(Signer::new(token::Config::default(), secrets)?),
         replicas: replica::Config::default(),
         data_centre: Arc::clone(&settings.data_centre),
         registry: Arc::default(),
         startup_timeout: caller::startup::STARTUP_TIMEOUT,
-        tls: tls.transpose()?,
+        peer_secret: Digest::of(&settings.endpoint_password),
+        tls: identity(settings.caller_tls.as_ref())?,
         phase,
         log: log.clone(),
     }))
 }
 
+fn pool_config(settings: &Settings) -> pool::Config {
+    pool::Config::new(
+        Arc::clone(&settings.endpoint_user),
+        Arc::clone(&settings.endpoint_password),
+        Arc::clone(&settings.name),
+    )
+}
+
+fn identity(tls: Option<&Tls>) -> Result<Option<Arc<Identity>>, Error> {
+    let identity = tls.map(|tls| Identity::open(files(tls), None));
+    Ok(identity.transpose()?.map(Arc::new))
+}
+
 fn files(tls: &Tls) -> tls::Files {
     tls::Files {
         certificate: tls.certificate.clone(),
@@ -221,8 +285,24 @@
         {
             warn!(self.log, "some callers were cut off");
         }
+        self.leave_peers().await;
+        drop(self.seats);
         self.steering.stop();
         self.control.shutdown().await;
         info!(self.log, "instance ended");
     }
+
+    /// Serves other instances until they have heard that this one leaves, then lets go of them.
+    async fn leave_peers(&self) {
+        sleep(PEERS_HEAR).await;
+        self.peers.stop();
+        self.peer_phase
+            .send_replace(Phase::Draining(Instant::now() + PEERS_FINISH));
+        if timeout(PEERS_FINISH + FAREWELL, self.peers.ended())
+            .await
+            .is_err()
+        {
+            warn!(self.log, "some work of other instances was cut off");
+        }
+    }
 }
