Keep refused values out of every parser message

Cause: the message of an unknown enum variant quotes the value in backticks, so a key written there would have shown in the error and in the audit entry. Ruled out: keeping a list of messages that quote values (it was such a list that missed this one). Change: whatever follows the first quote goes, up to the expected value; messages about fields keep the name of the field. The case found is a test of its own, with values that hold quotes.

--- a/crates/state/src/key.rs
+++ b/crates/state/src/key.rs
@@ -33,6 +33,9 @@
 /// Bytes of a digest.
 const DIGEST_BYTES: usize = 32;
 
+/// Starts of parser's messages that quote the name of a field and no value.
+const FIELD_MESSAGES: [&str; 3] = ["unknown field", "missing field", "duplicate field"];
+
 /// What [`redact`] puts in the place of a key.
 const REDACTED: &str = "[redacted]";
 
@@ -156,14 +159,20 @@
     Cow::Owned(clean)
 }
 
-/// Replaces the quoted value in a parser's message, since it might be a key.
+/// Removes the offending value from a parser's message, since it might be a key.
+///
+/// Names of fields stay: they tell what to mend.
 pub(crate) fn without_values(message: &str) -> String {
-    let quotes = message.find('"').zip(message.rfind('"'));
-    let clean = match quotes {
-        Some((first, last)) => format!("{}..{}", &message[..=first], &message[last..]),
-        None => message.to_owned(),
+    let names_field = FIELD_MESSAGES
+        .iter()
+        .any(|start| message.starts_with(start));
+    let value = message.find(['"', '`']).filter(|_| !names_field);
+    let Some(start) = value else {
+        return redact(message).into_owned();
     };
-    redact(&clean).into_owned()
+    let rest = message.rfind(", expected ").filter(|rest| *rest > start);
+    let rest = rest.map_or("", |rest| &message[rest..]);
+    format!("{}{rest}", message[..start].trim_end())
 }
 
 fn is_key_char(c: char) -> bool {
--- a/crates/state/tests/patch.rs
+++ b/crates/state/tests/patch.rs
@@ -272,6 +272,39 @@
     check::runner(8).quickcheck(property as fn(Vec<u8>, Vec<(usize, u8)>) -> bool);
 }
 
+#[test]
+fn a_refusal_names_the_place_and_the_expected_value_alone() {
+    let secrets = [
+        "correct horse",
+        "a\"correct",
+        "a`correct",
+        "a`, expected correct",
+    ];
+    let places = [
+        (
+            json!({"data_centres": {"caen": {"availability": null}}}),
+            "`in` or `out`",
+        ),
+        (json!({"workspaces": {"shop": {"weight": null}}}), "u32"),
+        (
+            json!({"workspaces": {"shop": {"routes": null}}}),
+            "a sequence",
+        ),
+    ];
+    for secret in secrets {
+        for (place, expected) in &places {
+            let text = place
+                .to_string()
+                .replace("null", &json!(secret).to_string());
+            let merge = serde_json::from_str(&text).unwrap();
+            let error = patch(3, Change::Merge(merge)).apply(Version(3), &document());
+            let message = error.unwrap_err().to_string();
+            assert!(message.contains(expected), "{message}");
+            assert!(!message.contains("correct"), "{message}");
+        }
+    }
+}
+
 #[test]
 fn a_key_in_clear_text_is_a_problem() {
     let mut named = document();
