Let the fair queue decide who gets the next endpoint connection

Cause: waits for a connection were first come, first served, so a workspace with many sessions took nearly every turn from one with few.

Ruled out: a queue before the member's slots alone. What is scarce at an instance is the connections of its seat, and a transaction holds one from its first statement to its end.

Change: pool::gate, which drives coordination::queue before each stock of connections. The instance that holds a seat treats each other instance's group of work as one line.

Figures: in a_greedy_workspace_leaves_the_others_their_turn eight sessions of one workspace stand against one session of another, one connection.

Conclusion: one turn each. Fairness between workspaces that come over another instance is only kept at that instance, as a forwarding connection does not say whom it serves.

--- a/crates/filbertbay/src/caller/session/place.rs
+++ b/crates/filbertbay/src/caller/session/place.rs
@@ -43,6 +43,8 @@
     group: Arc<str>,
     since: Instant,
     deadline: Instant,
+    workspace: Arc<str>,
+    weight: u32,
     staleness: Option<Duration>,
     avoided: Vec<usize>,
 }
@@ -103,12 +105,12 @@
         let member = view
             .member(member)
             .ok_or_else(|| unavailable("the member is not known"))?;
-        let deadline = Instant::now() + PEER_QUEUE_LIMIT;
-        let taken = self
-            .shared
-            .pool
-            .take_for_peer(&view, member, deadline)
-            .await;
+        let claim = pool::Claim {
+            workspace: group.into(),
+            weight: 1,
+            deadline: Instant::now() + PEER_QUEUE_LIMIT,
+        };
+        let taken = self.shared.pool.take_for_peer(&view, member, &claim).await;
         let lease = taken.map_err(|error| refusal(error.kind()))?;
         // The other instance decides what the member is; here its work counts as a change.
         let target = Target {
@@ -131,6 +133,8 @@
             group: Arc::clone(&snapshot[route.group].name),
             since: now,
             deadline: now + Duration::from_millis(route.settings.queue_ms),
+            workspace: Arc::clone(&snapshot[place.workspace].name),
+            weight: snapshot[place.workspace].weight,
             staleness: work.staleness.or(self.staleness).or(default),
             avoided: avoided.to_vec(),
         })
@@ -184,11 +188,13 @@
     }
 
     async fn lease(&self, target: Target, search: &Search) -> Result<Box<Open>, pool::ErrorKind> {
-        let taken = self
-            .shared
-            .pool
-            .take(&target.group, target.member, search.deadline)
-            .await;
+        let claim = pool::Claim {
+            workspace: Arc::clone(&search.workspace),
+            weight: search.weight,
+            deadline: search.deadline,
+        };
+        let pool = &self.shared.pool;
+        let taken = pool.take(&target.group, target.member, &claim).await;
         let lease = taken.map_err(|error| error.kind())?;
         Ok(Open::new(lease, target))
     }
--- a/crates/filbertbay/src/pool.rs
+++ b/crates/filbertbay/src/pool.rs
@@ -8,6 +8,7 @@
 //! holds one otherwise. Without one it opens a fixed number of connections.
 
 mod connection;
+mod gate;
 mod seat;
 mod stock;
 
@@ -27,6 +28,7 @@
 use tokio::time::sleep;
 
 pub use self::connection::{Connection, Prepared};
+pub use self::gate::Claim;
 pub use self::stock::Lease;
 use self::stock::Stock;
 
@@ -40,7 +42,7 @@
 const MAX_REPEAT: Duration = Duration::from_millis(100);
 
 /// Connections to one member over other instances.
-const MAX_FORWARDED: usize = 8;
+const MAX_FORWARDED: u32 = 8;
 
 /// Options of a [`Pool`].
 #[derive(Clone, Debug)]
@@ -50,7 +52,7 @@
     application: Arc<str>,
     peer_tls: Option<Arc<Identity>>,
     connect_timeout: Duration,
-    connections: usize,
+    connections: u32,
 }
 
 impl Config {
@@ -82,7 +84,7 @@
 
     /// Sets the number of connections to one member.
     #[must_use]
-    pub fn connections(mut self, connections: usize) -> Self {
+    pub fn connections(mut self, connections: u32) -> Self {
         self.connections = connections;
         self
     }
@@ -212,7 +214,7 @@
         &self,
         group: &view::Group,
         member: usize,
-        deadline: Instant,
+        claim: &Claim,
     ) -> Result<Lease, Error> {
         let view = &group.members[member];
         let member = self.member(&group.name, view);
@@ -221,18 +223,15 @@
             let own = self.own(&member);
             let has_seat = own.is_some();
             let taken = match own {
-                Some(stock) => self.take_own(&member, &stock, deadline).await,
-                None => {
-                    self.take_forwarded(&group.name, view, &member, deadline)
-                        .await
-                }
+                Some(stock) => self.take_own(&member, &stock, claim).await,
+                None => self.take_forwarded(&group.name, view, &member, claim).await,
             };
             let kind = match taken {
                 Ok(lease) => return Ok(lease),
                 Err(kind) => kind,
             };
             // Another instance's seat may come or move meanwhile.
-            if has_seat || Instant::now() + wait >= deadline {
+            if has_seat || Instant::now() + wait >= claim.deadline {
                 return Err(Error {
                     kind,
                     member: Arc::clone(&view.name),
@@ -252,7 +251,7 @@
         &self,
         group: &view::Group,
         member: usize,
-        deadline: Instant,
+        claim: &Claim,
     ) -> Result<Lease, Error> {
         let view = &group.members[member];
         let member = self.member(&group.name, view);
@@ -263,7 +262,7 @@
         let stock = self
             .own(&member)
             .ok_or_else(|| fail(ErrorKind::Unreachable))?;
-        self.take_own(&member, &stock, deadline).await.map_err(fail)
+        self.take_own(&member, &stock, claim).await.map_err(fail)
     }
 
     fn own(&self, member: &Member) -> Option<Arc<Stock>> {
@@ -278,12 +277,12 @@
         &self,
         member: &Member,
         stock: &Arc<Stock>,
-        deadline: Instant,
+        claim: &Claim,
     ) -> Result<Lease, ErrorKind> {
-        let permit = stock.permit(deadline).await?;
+        let permit = stock.permit(claim).await?;
         let connection = match stock.pop_where(|_| true) {
             Some(connection) => connection,
-            None => stock.adopt(self.open(&member.target, deadline).await?),
+            None => stock.adopt(self.open(&member.target, claim.deadline).await?),
         };
         Ok(Lease::new(
             Arc::clone(stock),
@@ -298,19 +297,22 @@
         group: &str,
         view: &view::Member,
         member: &Member,
-        deadline: Instant,
+        claim: &Claim,
     ) -> Result<Lease, ErrorKind> {
         let Some(directory) = &self.directory else {
             return Err(ErrorKind::Unreachable);
         };
         let stock = &member.forwarded;
-        let permit = stock.permit(deadline).await?;
+        let permit = stock.permit(claim).await?;
         let addresses = directory.forwards(group, view);
         // An instance that leaves is not used again, although its connection still stands.
         let may_use = |connection: &Connection| addresses.contains(&connection.endpoint.address());
         let connection = match stock.pop_where(may_use) {
             Some(connection) => connection,
-            None => stock.adopt(self.forward(&addresses, view, member, deadline).await?),
+            None => stock.adopt(
+                self.forward(&addresses, view, member, claim.deadline)
+                    .await?,
+            ),
         };
         Ok(Lease::new(
             Arc::clone(stock),
@@ -411,7 +413,7 @@
 
     /// Lets connections of this instance's own be opened.
     fn open_own(&self, connections: u32) {
-        *self.own.lock() = Some(Arc::new(Stock::new(connections as usize)));
+        *self.own.lock() = Some(Arc::new(Stock::new(connections)));
     }
 
     /// Ends every connection of this instance's own at once.
--- a/crates/filbertbay/src/pool/stock.rs
+++ b/crates/filbertbay/src/pool/stock.rs
@@ -6,9 +6,8 @@
 use filbertbay_coordination::replica::Load;
 use filbertbay_transport::endpoint::Breaker;
 use parking_lot::Mutex;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout_at;
 
+use super::gate::{Claim, Gate, Permit};
 use super::{Connection, ErrorKind};
 
 /// Weight of the newest statement in a member's mean latency, as one part in this many.
@@ -17,32 +16,24 @@
 /// Bounded stock of connections to one member.
 #[derive(Debug)]
 pub(super) struct Stock {
-    permits: Arc<Semaphore>,
+    gate: Arc<Gate>,
     idle: Mutex<Vec<Connection>>,
     breakers: Mutex<Vec<Weak<Breaker>>>,
 }
 
 impl Stock {
     /// Creates a stock of at most this many connections.
-    pub(super) fn new(connections: usize) -> Self {
+    pub(super) fn new(connections: u32) -> Self {
         Self {
-            permits: Arc::new(Semaphore::new(connections)),
+            gate: Arc::new(Gate::new(connections)),
             idle: Mutex::default(),
             breakers: Mutex::default(),
         }
     }
 
     /// Waits for the right to use one connection.
-    pub(super) async fn permit(
-        &self,
-        deadline: Instant,
-    ) -> Result<OwnedSemaphorePermit, ErrorKind> {
-        let waiting = Arc::clone(&self.permits).acquire_owned();
-        match timeout_at(deadline.into(), waiting).await {
-            Ok(Ok(permit)) => Ok(permit),
-            Ok(Err(_)) => Err(ErrorKind::Unreachable),
-            Err(_) => Err(ErrorKind::Busy),
-        }
+    pub(super) async fn permit(&self, claim: &Claim) -> Result<Permit, ErrorKind> {
+        self.gate.pass(claim).await
     }
 
     /// Takes an idle connection, dropping those that were closed meanwhile or may not be used.
@@ -64,7 +55,7 @@
         let mut breakers = self.breakers.lock();
         breakers.retain(|breaker| breaker.strong_count() > 0);
         breakers.push(Arc::downgrade(connection.endpoint.breaker()));
-        if self.permits.is_closed() {
+        if self.gate.is_closed() {
             connection.endpoint.breaker().end();
         }
         drop(breakers);
@@ -73,7 +64,7 @@
 
     /// Ends every connection, also those that are leased.
     pub(super) fn end(&self) {
-        self.permits.close();
+        self.gate.close();
         let breakers = self.breakers.lock();
         breakers
             .iter()
@@ -90,7 +81,7 @@
     load: Arc<Mutex<Load>>,
     connection: Option<Connection>,
     started: Instant,
-    _permit: OwnedSemaphorePermit,
+    _permit: Permit,
 }
 
 impl Lease {
@@ -98,7 +89,7 @@
         stock: Arc<Stock>,
         load: Arc<Mutex<Load>>,
         connection: Connection,
-        permit: OwnedSemaphorePermit,
+        permit: Permit,
     ) -> Self {
         {
             let mut load = load.lock();
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -161,7 +161,7 @@
 
 /// Options of a [`Fixture`].
 pub struct Options {
-    pub connections: usize,
+    pub connections: u32,
     pub max_callers: usize,
     pub slots: u32,
     pub tls: Option<Arc<Identity>>,
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -4,6 +4,7 @@
 
 use common::{DEADLINE, Fixture, KEY, OTHER_KEY, Options, authority, connect, spawn, state};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use filbertbay_transport::endpoint::{Connection, Target, read_row};
 use filbertbay_transport::tls::{Files, Identity};
@@ -324,3 +325,48 @@
     let frames = caller.query("SELECT 7").await.expect("answered");
     assert_eq!(read_row(&frames).expect("a row"), [Some("7".to_owned())]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_greedy_workspace_leaves_the_others_their_turn() {
+    const GREEDY: usize = 8;
+    const ROUNDS: usize = 20;
+    const WORK: &str = "BEGIN; SELECT pg_sleep(0.002); COMMIT";
+    let fixture = spawn(Options {
+        connections: 1,
+        ..Options::default()
+    })
+    .await;
+    fixture.control.patch(|document| {
+        let mill = document.workspaces.get_mut("mill").expect("configured");
+        mill.routes.push("orders".into());
+    });
+    let run = Arc::new(AtomicUsize::new(0));
+    let mut greedy = Vec::new();
+    for _ in 0..GREEDY {
+        let client = fixture.connect().await;
+        let run = Arc::clone(&run);
+        greedy.push(tokio::spawn(async move {
+            loop {
+                client.batch_execute(WORK).await.expect("run");
+                run.fetch_add(1, Ordering::Relaxed);
+            }
+        }));
+    }
+    let mut config = fixture.config();
+    let modest = connect(config.user("mill").password(OTHER_KEY))
+        .await
+        .expect("taken");
+    modest.batch_execute(WORK).await.expect("run");
+    let before = run.load(Ordering::Relaxed);
+    for _ in 0..ROUNDS {
+        modest.batch_execute(WORK).await.expect("run");
+    }
+    let meanwhile = run.load(Ordering::Relaxed) - before;
+    greedy.iter().for_each(tokio::task::JoinHandle::abort);
+    // In turn the greedy workspace runs as many; one after another it would run eight times as
+    // many. One in flight and one that slips in while the modest caller thinks are allowed.
+    assert!(
+        meanwhile <= 3 * ROUNDS,
+        "{meanwhile} while the other ran {ROUNDS}"
+    );
+}
