--- a/crates/filbertbay/tests/settings.rs
+++ b/crates/filbertbay/tests/settings.rs
@@ -5,7 +5,7 @@
     reason = "quickcheck passes its arguments by value"
 )]
 
-use filbertbay::settings::{Error, Settings};
+use filbertbay::settings::{Error, Settings, Tls};
 
 const GOOD: &str = r#"{
     "name": "quimper-1", "data_centre": "quimper",
@@ -55,3 +55,27 @@
     let shown = format!("{settings:?}");
     assert!(!shown.contains("s3cret") && !shown.contains("00112233"));
 }
+
+#[test]
+fn the_reference_names_every_field() {
+    let reference = include_str!("../../../docs/operators/settings.md");
+    let mut settings = Settings::parse("settings.json", GOOD).expect("good");
+    settings
+        .seeds
+        .push("127.0.0.1:1".parse().expect("an address"));
+    settings.silence_ms = Some(1);
+    let tls = Tls {
+        certificate: "c".into(),
+        key: "k".into(),
+        authorities: None,
+    };
+    settings.caller_tls = Some(tls.clone());
+    settings.peer_tls = Some(tls);
+    let fields = serde_json::to_value(settings).expect("JSON");
+    for field in fields.as_object().expect("an object").keys() {
+        assert!(
+            reference.contains(&format!("| `{field}` |")),
+            "{field} is not in the reference"
+        );
+    }
+}
