Mend links that rustdoc refuses in the state and protocol packages

Cause: cargo doc with warnings as errors refused three links whose target their label names already. Change: the labels stand alone. Ran: cargo doc --no-deps for state, protocol, transport, standin and filbertctl: no warning. Conclusion: these five packages document cleanly.

--- a/crates/protocol/src/endpoint.rs
+++ b/crates/protocol/src/endpoint.rs
@@ -5,7 +5,7 @@
 //!
 //! | statement | answer |
 //! |---|---|
-//! | `SELECT * FROM group_status()` | one row, see [`Status`](filbertbay_state::status::Status) |
+//! | `SELECT * FROM group_status()` | one row, see [`Status`] |
 //! | `SELECT group_fence(term)` | the row of `group_status()` after the fence |
 //! | `SELECT group_promote(term)` | the row of `group_status()` after the promotion |
 //! | `SELECT group_follow('ip:port', term)` | the row of `group_status()` |
--- a/crates/protocol/src/repository/mod.rs
+++ b/crates/protocol/src/repository/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | key | value |
 //! |---|---|
-//! | `filbertbay/config/head` | the [`Head`](filbertbay_state::head::Head), swapped by each patch |
+//! | `filbertbay/config/head` | the [`Head`], swapped by each patch |
 //! | `filbertbay/config/part/<digest>` | a [`Part`](filbertbay_state::part::Part), written once |
 //! | `filbertbay/audit/applied/<version>` | the audit entry of the patch that made a version |
 //! | `filbertbay/audit/refused` | the audit entries of the latest refused patches |
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! Checked configuration, compiled for look-up.
 //!
 //! A [`Snapshot`] holds each section of a [`Document`] in an arena that is sorted by name, and
-//! refers from one section to another by the ids of [`id`](crate::id). It is immutable and cheap to
+//! refers from one section to another by the ids of [`id`]. It is immutable and cheap to
 //! clone; control publishes a new one for each version.
 //!
 //! # Examples
