--- a/crates/coordination/tests/limit.rs
+++ b/crates/coordination/tests/limit.rs
@@ -6,30 +6,42 @@
 
 const SERVICE: Duration = Duration::from_millis(4);
 
-/// Plays a member whose slots are shared by the statements in flight, and returns the mean limit.
-fn settled_limit(slots: u32, most: u32) -> f64 {
-    let mut now = Instant::now();
-    let mut limit = Limit::open(now, Config { most });
-    let mut sum = 0;
-    for round in 0..4_000_u32 {
-        while limit.acquire() {}
-        now += SERVICE;
-        let running = limit.running();
-        let stretch = f64::from(running.max(slots)) / f64::from(slots);
-        for _ in 0..running.min(slots) {
-            limit.release(now, Some(SERVICE.mul_f64(stretch)));
-        }
-        if round >= 2_000 {
-            sum += limit.present();
+/// Plays a member whose slots are shared by the statements in flight.
+struct Member {
+    now: Instant,
+    limit: Limit,
+}
+
+impl Member {
+    fn new(most: u32) -> Self {
+        let now = Instant::now();
+        let limit = Limit::open(now, Config { most });
+        Self { now, limit }
+    }
+
+    /// Runs statements over the given slots and returns the mean limit.
+    fn run(&mut self, slots: u32, rounds: u32) -> f64 {
+        let mut sum = 0;
+        for _ in 0..rounds {
+            while self.limit.acquire() {}
+            self.now += SERVICE;
+            let running = self.limit.running();
+            let stretch = f64::from(running.max(slots)) / f64::from(slots);
+            for _ in 0..running.min(slots) {
+                self.limit.release(self.now, Some(SERVICE.mul_f64(stretch)));
+            }
+            sum += self.limit.present();
         }
+        f64::from(sum) / f64::from(rounds)
     }
-    f64::from(sum) / 2_000.0
 }
 
 fn bounds_hold_and_slots_are_found(slots: u8, extra: u8) -> bool {
     let slots = u32::from(slots % 6) + 1;
     let most = slots + u32::from(extra % 40);
-    let limit = settled_limit(slots, most);
+    let mut member = Member::new(most);
+    member.run(slots, 2_000);
+    let limit = member.run(slots, 2_000);
     limit >= f64::from(slots) * 0.99 && limit <= f64::from(most.min(slots + 3))
 }
 
@@ -38,6 +50,21 @@
     check::runner(16).quickcheck(bounds_hold_and_slots_are_found as fn(u8, u8) -> bool);
 }
 
+/// Takes slots away from a member whose limit has settled.
+fn lost_slots_are_noticed(slots: u8, lost: u8) -> bool {
+    let slots = u32::from(slots % 6) + 3;
+    let left = slots - (u32::from(lost) % (slots - 1) + 1);
+    let mut member = Member::new(40);
+    member.run(slots, 2_000);
+    member.run(left, 500);
+    member.run(left, 500) <= f64::from(left + 3)
+}
+
+#[test]
+fn the_limit_shrinks_with_the_slots() {
+    check::runner(16).quickcheck(lost_slots_are_noticed as fn(u8, u8) -> bool);
+}
+
 #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
 fn never_more_than_the_limit_runs(steps: Vec<(bool, Option<u8>)>, most: u8) -> bool {
     let mut now = Instant::now();
