Prove reads of a primary before they are told

A read that ran on an isolated primary could show a write of unknown outcome, which then vanished with that primary. That this was the read in question is inferred, not seen. Ruled out: rewound replicas, since with three members what a replica holds is held by a majority; a stale floor, since the histories hold it. Change: work on a primary is kept back from its completion on and confirmed by the route's durability, also when it only reads; the error is 57P03. Conclusion: each read of a primary now waits for a round.

--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -327,7 +327,8 @@
         relay.hold = match open.target.is_primary {
             // Another instance keeps back itself what must be kept back.
             _ if is_peer => Hold::Nothing,
-            true if !work.is_read() || !fresh => Hold::Changes,
+            // Reads of a primary wait for the proof too: what it holds alone may be lost with it.
+            true => Hold::Changes,
             false if fresh => Hold::Start,
             _ => Hold::Nothing,
         };
@@ -354,7 +355,11 @@
                 status,
                 held,
                 changed,
-            } => self.finish_ready(status, held, changed, open).await,
+            } => {
+                let is_read = work.is_read();
+                self.finish_ready(status, held, changed, is_read, open)
+                    .await
+            }
             End::Flushed { failed, changed } => {
                 let mut open = open;
                 open.changed = changed;
@@ -379,6 +384,7 @@
         status: u8,
         held: Vec<Frame>,
         changed: bool,
+        is_read: bool,
         mut open: Box<Open>,
     ) -> Result<(), Close> {
         let target = open.target.clone();
@@ -393,6 +399,12 @@
         }
         if changed && is_idle {
             if let Err(refusal) = self.confirm(&target).await {
+                let message = "the primary could not be confirmed, so the read may show lost data";
+                let refusal = if is_read {
+                    Refusal::new(State::Unavailable, message)
+                } else {
+                    refusal
+                };
                 return self.answer_error(&refusal).await;
             }
         } else if self
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -5,6 +5,7 @@
 use common::{DEADLINE, Fixture, KEY, OTHER_KEY, Options, authority, connect, spawn, state};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use filbertbay_transport::endpoint::{Connection, Target, read_row};
 use filbertbay_transport::tls::{Files, Identity};
@@ -233,6 +234,26 @@
         .expect("confirmed");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_of_an_unproven_primary_is_refused() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    // No replica reaches the session's floor, so its reads go to the primary.
+    for member in fixture.group.members() {
+        member.set_lag(Duration::from_mins(10));
+    }
+    let insert = "INSERT INTO lilies VALUES (1, 'red', 0)";
+    client.batch_execute(insert).await.expect("confirmed");
+    let read = "SELECT id FROM lilies";
+    let rows = client.query(read, &[]).await.expect("confirmed");
+    assert_eq!(rows.len(), 1);
+    *fixture.control.confirms.lock() = false;
+    let simple = client.batch_execute(read).await;
+    assert_eq!(state(&simple.expect_err("unproven")), "57P03");
+    let extended = client.query(read, &[]).await;
+    assert_eq!(state(&extended.expect_err("unproven")), "57P03");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn work_over_the_rate_is_refused_truthfully() {
     let fixture = spawn(Options::default()).await;
