--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -47,6 +47,7 @@
 mod ledger;
 mod loan;
 mod message;
+mod plan;
 
 pub use self::allocation::{Allocation, GROUPS, Holder, LANES};
 pub use self::fraction::Fraction;
--- a/crates/filbertbay/examples/capacity/membership.rs
+++ b/crates/filbertbay/examples/capacity/membership.rs
@@ -119,6 +119,7 @@
             from: self.table.own().clone(),
             version: 1,
             platform_age: Some(Duration::ZERO),
+            shares: 1,
             rumours: self.table.rumours(to),
         };
         bincode::serialize(&heartbeat).unwrap_or_default()
--- a/crates/filbertbay/src/control/membership.rs
+++ b/crates/filbertbay/src/control/membership.rs
@@ -6,6 +6,7 @@
 
 use filbertbay_coordination::contact::Contact;
 use filbertbay_coordination::membership::{Action, Config, Event, Table};
+use filbertbay_coordination::share::Holder;
 use filbertbay_protocol::peer::{Heartbeat, PROTOCOL, Relay};
 use filbertbay_state::document::Availability;
 use filbertbay_state::instance::Instance;
@@ -15,8 +16,9 @@
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
-use super::configuration;
+use super::{configuration, share};
 use crate::published::Published;
+use crate::share::Shares;
 
 /// Longest wait for the answer of a probe, its relays included.
 const PROBE_DEADLINE: Duration = Duration::from_secs(1);
@@ -34,6 +36,7 @@
     configuration: Address<configuration::Configuration>,
     changes: u64,
     contact: Contact,
+    shares: Arc<Shares>,
     silence_limit: Option<Duration>,
 }
 
@@ -43,6 +46,7 @@
         pool: Arc<Pool>,
         published: Arc<Published>,
         configuration: Address<configuration::Configuration>,
+        shares: Arc<Shares>,
         silence_limit: Option<Duration>,
     ) -> Address<Self> {
         let own = published.own().clone();
@@ -55,6 +59,7 @@
             configuration,
             changes: 0,
             contact: Contact::open(Instant::now(), data_centre),
+            shares,
             silence_limit,
         };
         let address = xtra::spawn_tokio(actor, Mailbox::bounded(super::MAILBOX));
@@ -68,6 +73,7 @@
             from: self.table.own().clone(),
             version: self.published.snapshot().version().0,
             platform_age: self.contact.platform_age(Instant::now()),
+            shares: self.shares.allocation().epoch,
             rumours: self.table.rumours(to),
         }
     }
@@ -132,6 +138,10 @@
         let from = &heartbeat.from.instance;
         self.contact
             .hear_instance(Instant::now(), &from.data_centre, heartbeat.platform_age);
+        if heartbeat.shares > self.shares.allocation().epoch {
+            let (pool, shares) = (Arc::clone(&self.pool), Arc::clone(&self.shares));
+            tokio::spawn(share::pull(pool, shares, from.clone()));
+        }
         let heard = configuration::Heard {
             from: heartbeat.from.instance.clone(),
             version: heartbeat.version,
@@ -319,3 +329,47 @@
         self.publish();
     }
 }
+
+/// Asks which instances are present and when they were heard.
+#[derive(Debug)]
+pub struct Census;
+
+/// Instances that are not removed, and the contact with the platform.
+#[derive(Clone, Debug)]
+pub struct Count {
+    /// Instances and when a message of theirs last came in.
+    present: Vec<(Instance, Option<Instant>)>,
+    /// Time since the platform answered this instance or one that it heard of.
+    pub platform_age: Option<Duration>,
+}
+
+impl Count {
+    /// Tells whether a holder of shares is present.
+    pub fn is_present(&self, holder: &Holder) -> bool {
+        self.find(holder).is_some()
+    }
+
+    /// Returns when a message of a holder of shares last came in.
+    pub fn heard(&self, holder: &Holder) -> Option<Instant> {
+        self.find(holder).and_then(|(_, heard)| *heard)
+    }
+
+    fn find(&self, holder: &Holder) -> Option<&(Instance, Option<Instant>)> {
+        self.present
+            .iter()
+            .find(|(one, _)| holder.is(&one.name, one.incarnation))
+    }
+}
+
+impl Handler<Census> for Membership {
+    type Return = Count;
+
+    async fn handle(&mut self, _: Census, _: &mut Context<Self>) -> Count {
+        let present = self.table.present();
+        let heard = |instance: &Instance| self.table.heard(&instance.name);
+        Count {
+            present: present.map(|one| (one.clone(), heard(one))).collect(),
+            platform_age: self.contact.platform_age(Instant::now()),
+        }
+    }
+}
--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 mod roster;
 mod service;
+mod share;
 
 use std::io;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use self::membership::Membership;
 use self::service::Service;
 use crate::published::Published;
+use crate::share::Shares;
 
 /// Messages that wait for an actor at most; senders wait when it is full.
 const MAILBOX: usize = 1_024;
@@ -55,6 +57,7 @@
 /// Running control thread; it ends when the handle is dropped.
 #[derive(Debug)]
 pub struct Control {
+    shares: Arc<Shares>,
     runtime: tokio::runtime::Handle,
     leave: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
@@ -73,21 +76,29 @@
             .enable_all()
             .build()?;
         let handle = runtime.handle().clone();
+        let shares = Arc::new(Shares::open(Arc::clone(&parts.published)));
+        let kept = Arc::clone(&shares);
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                LocalSet::new().block_on(&runtime, run(parts, started, left));
+                LocalSet::new().block_on(&runtime, run(parts, kept, started, left));
             })?;
         bound
             .await
             .map_err(|_| io::Error::other("control thread ended"))??;
         Ok(Self {
+            shares,
             runtime: handle,
             leave: Some(leave),
             thread: Some(thread),
         })
     }
 
+    /// Returns this instance's part of the rates.
+    pub fn shares(&self) -> &Arc<Shares> {
+        &self.shares
+    }
+
     /// Returns the runtime of the control thread, for further actors.
     pub fn runtime(&self) -> &tokio::runtime::Handle {
         &self.runtime
@@ -104,7 +115,12 @@
     }
 }
 
-async fn run(parts: Parts, started: oneshot::Sender<io::Result<()>>, leave: oneshot::Receiver<()>) {
+async fn run(
+    parts: Parts,
+    shares: Arc<Shares>,
+    started: oneshot::Sender<io::Result<()>>,
+    leave: oneshot::Receiver<()>,
+) {
     let Parts {
         store,
         identity,
@@ -127,12 +143,14 @@
         Arc::clone(&pool),
         Arc::clone(&published),
         configuration.clone(),
+        Arc::clone(&shares),
         silence_limit,
     );
     let service = Service {
         pool: Arc::clone(&pool),
         membership: membership.clone(),
         configuration: configuration.clone(),
+        shares: Arc::clone(&shares),
     };
     let server = match Server::bind(published.own().peers, identity, service).await {
         Ok(server) => server,
@@ -150,6 +168,14 @@
         log.clone(),
     );
     let roster = tokio::spawn(roster);
+    share::spawn(&share::Parts {
+        shares,
+        store: Arc::clone(&store),
+        pool,
+        published: Arc::clone(&published),
+        membership: membership.clone(),
+        log: log.clone(),
+    });
     // A dropped handle ends the thread as a request to leave does, without the farewell.
     if leave.await.is_ok() {
         roster.abort();
--- a/crates/filbertbay/src/control/service.rs
+++ b/crates/filbertbay/src/control/service.rs
@@ -1,16 +1,17 @@
 //! Answers to the calls of other instances.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use filbertbay_coordination::share::{Allocation, Message};
 use filbertbay_protocol::peer::{Heartbeat, Peer, Relay};
-use filbertbay_state::status::Status;
 use filbertbay_transport::peer::Pool;
 use tarpc::context;
 use xtra::Address;
 
 use super::configuration::{self, Configuration};
 use super::membership::{self, Membership};
+use crate::share::Shares;
 
 /// Longest wait for the answer of a probe that is sent on for another instance.
 const RELAY_DEADLINE: Duration = Duration::from_millis(500);
@@ -21,6 +22,7 @@
     pub(super) pool: Arc<Pool>,
     pub(super) membership: Address<Membership>,
     pub(super) configuration: Address<Configuration>,
+    pub(super) shares: Arc<Shares>,
 }
 
 impl Peer for Service {
@@ -75,7 +77,17 @@
             .flatten()
     }
 
-    async fn status(self, _: context::Context, _: Arc<str>) -> Option<Status> {
-        None
+    async fn share(
+        self,
+        _: context::Context,
+        from: Arc<str>,
+        messages: Vec<Message>,
+    ) -> Vec<Message> {
+        self.shares.receive(Instant::now(), &from, &messages)
+    }
+
+    async fn allocation(self, _: context::Context, above: u64) -> Option<Allocation> {
+        let allocation = self.shares.allocation();
+        (allocation.epoch > above).then(|| Allocation::clone(&allocation))
     }
 }
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -72,7 +72,6 @@
     peers: caller::Handle,
     peer_phase: watch::Sender<Phase>,
     seats: seats::Handle,
-    steering: Arc<Steering>,
     metrics: metric::Handle,
     control: Control,
     drain: Duration,
@@ -93,7 +92,8 @@
     let (published, control, directory) = start_control(&settings, bound, &log).await?;
     let instance = published.own().clone();
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
-    let steering = Steering::spawn(Arc::clone(&published), directory);
+    let shares = Arc::clone(control.shares());
+    let steering = Arc::new(Steering::new(Arc::clone(&published), directory, shares));
     let ranking = Arc::new(Ranking::new(Arc::clone(&published)));
     let pool = Arc::new(Pool::new(pool_config(&settings)).directory(ranking));
     let seats = seats::spawn(Arc::clone(&pool), Arc::clone(&published));
@@ -113,7 +113,6 @@
         peers,
         peer_phase,
         seats,
-        steering,
         metrics,
         control,
         drain,
@@ -284,7 +283,6 @@
         }
         self.leave_peers().await;
         drop(self.seats);
-        self.steering.stop();
         self.control.shutdown().await;
         info!(self.log, "instance ended");
     }
--- a/crates/filbertbay/src/lib.rs
+++ b/crates/filbertbay/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod published;
 pub mod seats;
 pub mod settings;
+pub mod share;
 pub mod steering;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use filbertbay_coordination::membership::Rumour;
-use filbertbay_state::status::Status;
+use filbertbay_coordination::share::{Allocation, Message};
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages in this module.
@@ -25,6 +25,8 @@
     pub version: u64,
     /// Time since the platform answered the sender or an instance that it heard of.
     pub platform_age: Option<Duration>,
+    /// Epoch of the record of shares that is in use at the sender.
+    pub shares: u64,
     /// Rumours about other instances.
     pub rumours: Vec<Rumour>,
 }
@@ -45,7 +47,7 @@
     reason = "the macro documents neither its requests nor its responses"
 )]
 mod service {
-    use super::{Arc, Heartbeat, Relay, Status};
+    use super::{Allocation, Arc, Heartbeat, Message, Relay};
 
     /// Calls that an instance answers to other instances.
     #[tarpc::service]
@@ -65,7 +67,10 @@
         /// Returns the configuration part of the given digest as stored.
         async fn part(digest: Arc<str>) -> Option<Vec<u8>>;
 
-        /// Asks a member for its status over this instance's control connection.
-        async fn status(member: Arc<str>) -> Option<Status>;
+        /// Hands over messages about shares and returns those that answer them at once.
+        async fn share(from: Arc<str>, messages: Vec<Message>) -> Vec<Message>;
+
+        /// Returns the record of holders of shares, if its epoch is above the given one.
+        async fn allocation(above: u64) -> Option<Allocation>;
     }
 }
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filbertbay_coordination::share::{Allocation, Message};
 use filbertbay_protocol::peer::{Heartbeat, Peer, Relay};
-use filbertbay_state::status::Status;
 use filbertbay_transport::peer::{ErrorKind, Pool, Server};
 use filbertbay_transport::tls::{Files, Identity};
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
@@ -44,7 +44,11 @@
         Some(digest.as_bytes().to_vec())
     }
 
-    async fn status(self, _: Context, _: Arc<str>) -> Option<Status> {
+    async fn share(self, _: Context, _: Arc<str>, messages: Vec<Message>) -> Vec<Message> {
+        messages
+    }
+
+    async fn allocation(self, _: Context, _: u64) -> Option<Allocation> {
         None
     }
 }
@@ -195,6 +199,7 @@
         from: Rumour::first(instance),
         version: 0,
         platform_age: Some(Duration::ZERO),
+        shares: 1,
         rumours: Vec::new(),
     };
     Relay {
