Read the list of instances until it shows the instance itself

Cause: the first reading of a fleet that starts together is empty, and the next one came 5 to 10 s later, so the first record of shares named one instance alone. Ruled out: a fixed number of early readings (the list's lag is the platform's). Change: readings from 0.2 s doubling to 2 s until the list shows this incarnation; watchers go on at 10 s.

--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -121,45 +121,21 @@
     started: oneshot::Sender<io::Result<()>>,
     leave: oneshot::Receiver<()>,
 ) {
-    let Parts {
-        store,
-        identity,
-        seeds,
-        silence_limit,
-        published,
-        log,
-    } = parts;
-    let log = log.new(o!("part" => "control"));
-    let pool = Arc::new(Pool::new(identity.clone()));
+    let log = parts.log.new(o!("part" => "control"));
+    let pool = Arc::new(Pool::new(parts.identity.clone()));
     let (ready, listed) = oneshot::channel();
-    let configuration = Configuration::spawn(
-        Arc::clone(&store),
-        Arc::clone(&pool),
-        Arc::clone(&published),
-        listed,
-        &log,
-    );
-    let membership = Membership::spawn(
-        Arc::clone(&pool),
-        Arc::clone(&published),
-        configuration.clone(),
-        Arc::clone(&shares),
-        silence_limit,
-    );
-    let service = Service {
-        pool: Arc::clone(&pool),
-        membership: membership.clone(),
-        configuration: configuration.clone(),
-        shares: Arc::clone(&shares),
-    };
-    let server = match Server::bind(published.own().peers, identity, service).await {
+    let service = spawn_actors(&parts, &pool, &shares, listed, &log);
+    let membership = service.membership.clone();
+    let bound = Server::bind(parts.published.own().peers, parts.identity, service).await;
+    let server = match bound {
         Ok(server) => server,
         Err(error) => return drop(started.send(Err(error))),
     };
     let _ = started.send(Ok(()));
-    for seed in seeds {
+    for seed in parts.seeds {
         let _ = membership.send(membership::Greet(seed)).await;
     }
+    let (store, published) = (parts.store, parts.published);
     let roster = roster::run(
         Arc::clone(&store),
         Arc::clone(&published),
@@ -184,6 +160,36 @@
     drop(server);
 }
 
+/// Spawns the actors and returns the service that answers other instances with them.
+fn spawn_actors(
+    parts: &Parts,
+    pool: &Arc<Pool>,
+    shares: &Arc<Shares>,
+    listed: oneshot::Receiver<()>,
+    log: &Logger,
+) -> Service {
+    let configuration = Configuration::spawn(
+        Arc::clone(&parts.store),
+        Arc::clone(pool),
+        Arc::clone(&parts.published),
+        listed,
+        log,
+    );
+    let membership = Membership::spawn(
+        Arc::clone(pool),
+        Arc::clone(&parts.published),
+        configuration.clone(),
+        Arc::clone(shares),
+        parts.silence_limit,
+    );
+    Service {
+        pool: Arc::clone(pool),
+        membership,
+        configuration,
+        shares: Arc::clone(shares),
+    }
+}
+
 async fn say_farewell(
     store: &dyn Store,
     published: &Published,
--- a/crates/filbertbay/src/control/roster.rs
+++ b/crates/filbertbay/src/control/roster.rs
@@ -21,12 +21,13 @@
 const RETRY_FLOOR: Duration = Duration::from_millis(200);
 
 /// Longest wait after a failed call.
-const RETRY_CEILING: Duration = Duration::from_secs(5);
+const RETRY_CEILING: Duration = Duration::from_secs(2);
 
 /// Announces this instance until the platform has heard, then reads the list from time to time.
 ///
-/// Every instance reads the list once; after that only the watchers of a data centre do, so that the
-/// calls grow with data centres. `ready` ends after the first reading, whether or not it succeeded.
+/// Every instance reads the list until it shows the instance itself, and with it all that came
+/// before; after that only the watchers of a data centre read it, so that the calls grow with data
+/// centres. `ready` ends after the first reading, whether or not it succeeded.
 pub(super) async fn run(
     store: Arc<dyn Store>,
     published: Arc<Published>,
@@ -34,16 +35,24 @@
     ready: oneshot::Sender<()>,
     log: Logger,
 ) {
+    let own = published.own();
     // The list comes first: while the platform is slow, other instances can already be asked.
-    let mut listed = read_list(store.as_ref(), &membership, &log).await;
+    read_list(store.as_ref(), own, &membership, &log).await;
     let _ = ready.send(());
-    register(store.as_ref(), published.own(), &log).await;
+    register(store.as_ref(), own, &log).await;
+    let mut is_listed = false;
+    let mut wait = RETRY_FLOOR;
     loop {
-        let wait = if listed { LIST_INTERVAL } else { RETRY_CEILING };
         tokio::time::sleep(jittered(wait)).await;
-        if !listed || is_watcher(&published) {
-            listed |= read_list(store.as_ref(), &membership, &log).await;
+        if !is_listed || is_watcher(&published) {
+            is_listed |= read_list(store.as_ref(), own, &membership, &log).await;
         }
+        let longest = if is_listed {
+            LIST_INTERVAL
+        } else {
+            RETRY_CEILING
+        };
+        wait = (wait * 2).min(longest);
     }
 }
 
@@ -78,9 +87,20 @@
     }
 }
 
-async fn read_list(store: &dyn Store, membership: &Address<Membership>, log: &Logger) -> bool {
+/// Passes the list on, and tells whether it shows this instance.
+async fn read_list(
+    store: &dyn Store,
+    own: &Instance,
+    membership: &Address<Membership>,
+    log: &Logger,
+) -> bool {
     match store.instances().await {
-        Ok(list) => membership.send(Listed(list)).await.is_ok(),
+        Ok(list) => {
+            let shown = list
+                .iter()
+                .any(|one| one.name == own.name && one.incarnation == own.incarnation);
+            membership.send(Listed(list)).await.is_ok() && shown
+        }
         Err(error) => {
             debug!(log, "list of instances not read"; "error" => %error);
             false
--- a/crates/filbertbay/src/control/share.rs
+++ b/crates/filbertbay/src/control/share.rs
@@ -37,8 +37,12 @@
 /// Time between two readings of the record by a watcher.
 const RECORD_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Age of an instance before it writes the first record, so that it knows most of the others.
-const FIRST_RECORD_AFTER: Duration = Duration::from_secs(2);
+/// Time for which no instance has come or gone before the first record is written, so that a fleet
+/// that starts together shares evenly from the first record on.
+const FIRST_RECORD_AFTER: Duration = Duration::from_secs(3);
+
+/// Time between two readings of the record until there is one.
+const FIRST_RECORD_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time without a sign of an instance before its lanes pass on; longer than the time after which
 /// it stops spending them for want of proof.
@@ -170,7 +174,9 @@
 /// Keeps the record of holders while this instance is a watcher, and gives lanes away.
 struct Keeper {
     parts: Parts,
-    since: Instant,
+    /// Live instances at the last look, and when they last changed.
+    live: Vec<Holder>,
+    changed: Instant,
     absent: HashMap<(Arc<str>, u64), Instant>,
 }
 
@@ -178,14 +184,21 @@
     fn new(parts: Parts) -> Self {
         Self {
             parts,
-            since: Instant::now(),
+            live: Vec::new(),
+            changed: Instant::now(),
             absent: HashMap::new(),
         }
     }
 
     async fn run(mut self) {
         loop {
-            sleep(roster::jittered(RECORD_INTERVAL)).await;
+            let is_known = self.parts.shares.allocation().epoch > 0;
+            let interval = if is_known {
+                RECORD_INTERVAL
+            } else {
+                FIRST_RECORD_INTERVAL
+            };
+            sleep(roster::jittered(interval)).await;
             let Ok(census) = self.parts.membership.send(Census).await else {
                 return;
             };
@@ -197,6 +210,7 @@
                 .map(holder)
                 .collect();
             self.note_absent(&census);
+            self.note_live(&live);
             if roster::is_watcher(&self.parts.published) {
                 self.keep(&live).await;
             }
@@ -221,6 +235,14 @@
         self.absent = noted.collect();
     }
 
+    /// Notes when the live instances last changed.
+    fn note_live(&mut self, live: &[Holder]) {
+        if self.live != live {
+            self.live = live.to_vec();
+            self.changed = Instant::now();
+        }
+    }
+
     fn is_dead(&self, live: &[Holder], one: &Holder) -> bool {
         let succeeded = live
             .iter()
@@ -230,7 +252,8 @@
         } else {
             RECLAIM_AFTER
         };
-        self.absent.get(&key(one))
+        self.absent
+            .get(&key(one))
             .is_some_and(|since| since.elapsed() >= wait)
     }
 
@@ -245,7 +268,7 @@
                 Some(record) => (record, entry.index),
                 None => return info!(self.parts.log, "record of shares can't be understood"),
             },
-            None if self.since.elapsed() < FIRST_RECORD_AFTER => return,
+            None if self.changed.elapsed() < FIRST_RECORD_AFTER => return,
             None => (first(live), Index(0)),
         };
         let reaches_majority = self.reaches_majority(&record, live);
--- a/crates/filbertbay/src/share.rs
+++ b/crates/filbertbay/src/share.rs
@@ -172,13 +172,17 @@
         state.allocation = allocation;
         // Lanes on their way to another instance must not be spent again.
         let State { ledger, giving, .. } = &mut *state;
-        giving.iter().for_each(|slot| ledger.release(*slot));
+        for slot in giving.iter() {
+            ledger.release(*slot);
+        }
     }
 
     /// Stops spending lanes that are about to pass on; returns how long loans may rest on them.
     pub fn release(&self, slots: &[usize]) -> Duration {
         let mut state = self.state.lock();
-        slots.iter().for_each(|slot| state.ledger.release(*slot));
+        for slot in slots {
+            state.ledger.release(*slot);
+        }
         state.giving = slots.to_vec();
         state.ledger.settling()
     }
