--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -5,7 +5,7 @@
 //! data centre come first, and of these the less loaded of two random ones. If a replica is about
 //! to reach the floor, a short wait keeps the read away from the primary.
 //!
-//! Age is counted from [marks](view::Mark), not from the time since a replica heard from its
+//! Age is counted from [marks](crate::view::Mark), not from the time since a replica heard from its
 //! primary: a replica of an isolated primary hears from it all the time.
 //!
 //! # Examples
