Tell a stale read from one that goes back on an unacknowledged row

Ruled out: nothing yet; the read that failed is not explained. Change: the second case is counted as regressed.

--- a/crates/standin/src/load/record.rs
+++ b/crates/standin/src/load/record.rs
@@ -25,8 +25,10 @@
 pub enum Outcome {
     /// The statement ran.
     Done,
-    /// The answer lacks a row that the session knows of.
+    /// The answer lacks a row whose write was acknowledged to the session.
     Stale,
+    /// The answer lacks a row that the session saw before, but was never acknowledged.
+    Regressed,
     /// The answer can't be understood.
     Garbled,
     /// The statement did not run, with the SQLSTATE.
@@ -100,8 +102,10 @@
     pub lost: usize,
     /// Writes that are there more than once.
     pub doubled: usize,
-    /// Reads that lacked a row that their session knew of.
+    /// Reads that lacked a row whose write was acknowledged to their session.
     pub stale: usize,
+    /// Reads that lacked an unacknowledged row which their session saw before.
+    pub regressed: usize,
     /// Writes that were refused as not run and are there.
     pub false_refusals: usize,
     /// Answers that can't be understood.
@@ -111,7 +115,8 @@
 impl Verdict {
     /// Tells whether everything that must always hold did.
     pub fn holds(&self) -> bool {
-        self.lost + self.doubled + self.stale + self.false_refusals + self.garbled == 0
+        let broken = self.lost + self.doubled + self.stale + self.regressed;
+        broken + self.false_refusals + self.garbled == 0
     }
 }
 
@@ -152,6 +157,7 @@
                 self.lost += usize::from(write == Some(false));
             }
             Outcome::Stale => self.stale += 1,
+            Outcome::Regressed => self.regressed += 1,
             Outcome::Garbled => self.garbled += 1,
             Outcome::NotRun(_) => {
                 self.not_run += 1;
--- a/crates/standin/src/load/session.rs
+++ b/crates/standin/src/load/session.rs
@@ -239,12 +239,15 @@
         let Some(seen) = row.and_then(|text| text.parse::<i64>().ok()) else {
             return Outcome::Garbled;
         };
-        let expected = self.acknowledged.max(self.seen);
+        let before = self.seen;
         self.seen = self.seen.max(seen);
-        if seen < expected {
-            return Outcome::Stale;
+        if seen < self.acknowledged {
+            Outcome::Stale
+        } else if seen < before {
+            Outcome::Regressed
+        } else {
+            Outcome::Done
         }
-        Outcome::Done
     }
 
     fn note(&mut self, kind: Kind, outcome: Outcome, began: Instant, instance: Arc<str>) {
