Try reads again within a budget, and writes that a replica refused as writes

Cause: a read that a replica refused as a write went on to the next member as a read, and so could have run on the primary without proof; retries had no budget.

Ruled out: trying writes of idempotent routes again here; what a caller has seen of them is not known to the session yet.

Change: after 25006 the work counts as a write; coordination::retry decides, with a budget for each member. The first of these has no test, as no statement was found that the classes take for a read and the stand-in for a write.

Shown: tests/path.rs passes (13 tests). With the avoiding of unreachable replicas switched off on purpose, reads_go_on_while_a_replica_stops failed; restored, it passes.

--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -3,13 +3,15 @@
 mod extended;
 mod place;
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use filbertbay_coordination::authority::confirm::Outcome;
+use filbertbay_coordination::retry::{self, Effect, Statement, Verdict};
 use filbertbay_coordination::session::Session as Consistency;
-use filbertbay_protocol::sql;
+use filbertbay_protocol::sql::{self, Class};
 use filbertbay_transport::wire::{Frame, kind, status};
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::response::TransactionStatus;
@@ -282,33 +284,51 @@
     }
 
     async fn run_on_endpoint(&mut self, work: &Work) -> Result<(), Close> {
+        let mut work = Cow::Borrowed(work);
         let mut avoided = Vec::new();
         for attempt in 1.. {
             let open = match std::mem::replace(&mut self.transaction, Transaction::Idle) {
                 Transaction::Open(open) => open,
-                _ => match self.place(work, &avoided).await {
+                _ => match self.place(&work, &avoided).await {
                     Ok(open) => open,
-                    Err(refusal) => return self.refuse(work, &refusal).await,
+                    Err(refusal) => return self.refuse(&work, &refusal).await,
                 },
             };
             let fresh = open.status == status::IDLE && !open.is_unsynced;
             let target = open.target.clone();
-            let (end, open) = self.relay(open, work, fresh).await;
-            let may_repeat = fresh && work.is_read() && attempt < MAX_ATTEMPTS;
+            if attempt == 1 {
+                self.shared.pool.earn_retry(&target.group, target.member);
+            }
+            let (end, open) = self.relay(open, &work, fresh).await;
+            let may_repeat = fresh && attempt < MAX_ATTEMPTS;
             match end {
-                End::ReadOnly
-                | End::Lost {
+                // The replica knows better than the class: the work changes something.
+                End::ReadOnly if may_repeat => work.to_mut().classes.push(Class::Write),
+                End::Lost {
                     unseen: true,
                     cause: Cause::Broken,
-                } if may_repeat => {
+                } if may_repeat && self.may_repeat_elsewhere(&work, &target) => {
                     avoided.push(target.member);
                 }
-                end => return self.finish(end, open, work).await,
+                end => return self.finish(end, open, &work).await,
             }
         }
         unreachable!("the loop returns on its last attempt")
     }
 
+    /// Tells whether work whose connection broke may run on another member.
+    fn may_repeat_elsewhere(&self, work: &Work, target: &Target) -> bool {
+        let statement = if work.is_read() {
+            Statement::Read
+        } else {
+            // A write may have run; whether its route is idempotent is for the caller to use.
+            Statement::Write { idempotent: false }
+        };
+        let verdict = retry::decide(statement, Effect::Unknown);
+        verdict == Verdict::OtherMember
+            && self.shared.pool.spend_retry(&target.group, target.member)
+    }
+
     /// Relays work on an endpoint connection.
     async fn relay(&mut self, mut open: Box<Open>, work: &Work, fresh: bool) -> (End, Box<Open>) {
         let deadline = Instant::now() + self.statement_limit();
--- a/crates/filbertbay/src/pool.rs
+++ b/crates/filbertbay/src/pool.rs
@@ -20,6 +20,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::replica::Load;
+use filbertbay_coordination::retry::Budget;
 use filbertbay_coordination::seat::Plan;
 use filbertbay_coordination::view;
 use filbertbay_transport::endpoint::{self, Target};
@@ -41,6 +42,12 @@
 /// Longest wait before a connection is asked for again.
 const MAX_REPEAT: Duration = Duration::from_millis(100);
 
+/// Retries per first try that a member may cause.
+const RETRY_RATIO: f64 = 0.1;
+
+/// Retries beyond that ratio that a member may cause at once.
+const RETRY_RESERVE: u32 = 10;
+
 /// Connections to one member over other instances.
 const MAX_FORWARDED: u32 = 8;
 
@@ -148,6 +155,7 @@
     /// Connections over other instances.
     forwarded: Arc<Stock>,
     load: Arc<Mutex<Load>>,
+    retries: Mutex<Budget>,
     seat: Mutex<Option<seat::Task>>,
 }
 
@@ -182,6 +190,22 @@
             .collect()
     }
 
+    /// Notes the first try of a statement on a member.
+    pub fn earn_retry(&self, group: &view::Group, member: usize) {
+        self.member(&group.name, &group.members[member])
+            .retries
+            .lock()
+            .earn();
+    }
+
+    /// Tells whether a statement that failed on a member may be tried once more.
+    pub fn spend_retry(&self, group: &view::Group, member: usize) -> bool {
+        self.member(&group.name, &group.members[member])
+            .retries
+            .lock()
+            .spend()
+    }
+
     /// Tries to hold a seat of a member from now on, at the given rank among all instances.
     pub fn hold_seat(&self, group: &Arc<str>, member: &view::Member, plan: Plan, rank: u32) {
         let member = self.member(group, member);
@@ -407,6 +431,7 @@
             own: Mutex::default(),
             forwarded: Arc::new(Stock::new(MAX_FORWARDED)),
             load: Arc::default(),
+            retries: Mutex::new(Budget::open(RETRY_RATIO, RETRY_RESERVE)),
             seat: Mutex::default(),
         }
     }
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -370,3 +370,26 @@
         "{meanwhile} while the other ran {ROUNDS}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_go_on_while_a_replica_stops() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let replicas = fixture.group.members().iter();
+    let replicas: Vec<_> = replicas
+        .filter(|member| member.name() != fixture.group.primary().name())
+        .collect();
+    for round in 0..60 {
+        match round {
+            20 => replicas[0].set_stopped(true),
+            40 => replicas[1].set_stopped(true),
+            _ => {}
+        }
+        let row = client.query_one("SELECT count(*) FROM lilies", &[]);
+        let row = timeout(DEADLINE, row)
+            .await
+            .expect("in time")
+            .expect("read");
+        assert_eq!(row.get::<_, i64>(0), 0);
+    }
+}
