--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -50,6 +50,7 @@
 mod ledger;
 mod loan;
 mod message;
+mod plan;
 
 pub use self::allocation::{Allocation, GROUPS, Holder, LANES};
 pub use self::fraction::Fraction;
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::published::Published;
 use crate::seats::{self, Ranking};
 use crate::settings::{Settings, Tls};
+use crate::share::Shares;
 use crate::steering::Steering;
 
 /// Time after the drain's limit in which sessions say farewell.
@@ -72,8 +73,8 @@
     peers: caller::Handle,
     peer_phase: watch::Sender<Phase>,
     seats: seats::Handle,
-    steering: Arc<Steering>,
     metrics: metric::Handle,
+    ready: watch::Receiver<bool>,
     control: Control,
     drain: Duration,
     log: Logger,
@@ -93,7 +94,8 @@
     let (published, control, directory) = start_control(&settings, bound, &log).await?;
     let instance = published.own().clone();
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
-    let steering = Steering::spawn(Arc::clone(&published), directory);
+    let shares = Arc::clone(control.shares());
+    let steering = Arc::new(Steering::new(Arc::clone(&published), directory, shares));
     let ranking = Arc::new(Ranking::new(Arc::clone(&published)));
     let peer_tls = identity(settings.peer_tls.as_ref())?;
     let config = pool_config(&settings).peer_tls(peer_tls.clone());
@@ -103,7 +105,8 @@
     let (peer_phase, peer_receiver) = watch::channel(Phase::Serving);
     let for_peers = Arc::new(shared.for_peers(peer_receiver, peer_tls));
     let peers = caller::spawn(for_peers, Door::Peers, forwards, settings.max_callers)?;
-    let metrics = metric::spawn(metrics, phase_receiver)?;
+    let ready = watch_readiness(&published, control.shares());
+    let metrics = metric::spawn(metrics, phase_receiver, ready.clone())?;
     let callers = caller::spawn(shared, Door::Callers, listener, settings.max_callers)?;
     info!(log, "instance started"; "callers" => %callers.address(), "metrics" => %metrics.address());
     let drain = Duration::from_millis(settings.drain_ms);
@@ -115,14 +118,32 @@
         peers,
         peer_phase,
         seats,
-        steering,
         metrics,
+        ready,
         control,
         drain,
         log,
     })
 }
 
+/// Returns a receiver that tells whether the instance has a configuration and knows its shares.
+fn watch_readiness(published: &Published, shares: &Shares) -> watch::Receiver<bool> {
+    let (sender, receiver) = watch::channel(false);
+    let (mut snapshots, mut epochs) = (published.subscribe(), shares.subscribe_epoch());
+    tokio::spawn(async move {
+        let configured = snapshots.wait_for(|snapshot| snapshot.version().0 > 0);
+        // Both results are reduced at once: the references in them must not be held over a wait.
+        let configured = configured.await.is_ok();
+        let shared = epochs.wait_for(|epoch| *epoch > 0).await.is_ok();
+        if configured && shared {
+            sender.send_replace(true);
+        }
+        // The receiver outlives changes only while the sender does.
+        sender.closed().await;
+    });
+    receiver
+}
+
 /// Starts the control thread.
 ///
 /// With port zero for control links another process may take the port that was found free; then the
@@ -265,6 +286,11 @@
         &self.instance
     }
 
+    /// Returns a receiver that tells whether the instance takes callers.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
+    }
+
     /// Returns the address of metrics and health.
     pub fn metrics(&self) -> SocketAddr {
         self.metrics.address()
@@ -287,7 +313,6 @@
         }
         self.leave_peers().await;
         drop(self.seats);
-        self.steering.stop();
         self.control.shutdown().await;
         info!(self.log, "instance ended");
     }
