Collect the parts that dead submitters leave behind

Cause: a process that died between writing its parts and swapping the head left parts that nobody names and nothing deleted. Ruled out: deleting by age (clocks of operators differ); collecting in each submission (a list of all parts on the way of every patch). Change: filbertctl config collect deletes parts that neither the head nor its retired list names and that were written for a version which is past, so that no later head can name them. Broken on purpose, and seen to fail: parts of a patch under way, retired parts, nothing collected. Conclusion: the platform holds nothing but what the head names or has retired, after a collection.

--- a/crates/filbertctl/src/command/config.rs
+++ b/crates/filbertctl/src/command/config.rs
@@ -61,6 +61,9 @@
     /// Lists the versions and the patches that made them.
     #[bpaf(command)]
     History(#[bpaf(external(target))] Target),
+    /// Deletes what submissions that were cut short have left in the platform.
+    #[bpaf(command)]
+    Collect(#[bpaf(external(target))] Target),
 }
 
 /// Runs `filbertctl config`.
@@ -75,6 +78,7 @@
             file,
         } => submit(&target, &labels, &file).await,
         Options::History(target) => history(&target).await,
+        Options::Collect(target) => collect(&target).await,
     }
 }
 
@@ -139,6 +143,12 @@
     })
 }
 
+async fn collect(target: &Target) -> Result<(), Failure> {
+    let deleted = Operator::open(target)?.collect().await?;
+    let value = json!({"deleted_parts": deleted});
+    output::print(target.json, &value, |_| format!("{deleted} parts deleted"))
+}
+
 fn read(file: &Path) -> Result<String, Failure> {
     let text = if file == Path::new(STDIN) {
         std::io::read_to_string(std::io::stdin())
--- a/crates/filbertctl/src/operator.rs
+++ b/crates/filbertctl/src/operator.rs
@@ -114,6 +114,11 @@
         self.repository.audit().await.map_err(into_failure)
     }
 
+    /// Deletes the parts that dead submitters have left, and returns how many there were.
+    pub async fn collect(&self) -> Result<usize, Failure> {
+        self.repository.collect().await.map_err(into_failure)
+    }
+
     /// Submits a change against the version that the labels name, else against `present`.
     pub async fn submit(
         &self,
--- a/crates/protocol/src/repository/submission.rs
+++ b/crates/protocol/src/repository/submission.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 
 use super::trail::to_bytes;
-use super::{Error, ErrorKind, HEAD_KEY, Repository, Stored, part_key};
+use super::{Error, ErrorKind, HEAD_KEY, PART_PREFIX, Repository, Stored, part_key};
 use crate::platform::{self, Index, MAX_VALUE_BYTES};
 
 /// Times that a submission reads the head again after a lost answer or a lost race.
@@ -87,6 +87,31 @@
         Err(Error::new(ErrorKind::Unknown, message))
     }
 
+    /// Deletes the parts of patches whose submitters died, and returns how many there were.
+    ///
+    /// Only parts are deleted that neither the present version nor any later one can name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform doesn't answer or holds no configuration; parts deleted
+    /// until then stay deleted.
+    pub async fn collect(&self) -> Result<usize, Error> {
+        // Parts are listed first: a part that a later version names would be newer than the head.
+        let stored = self.store.list(PART_PREFIX).await?;
+        let present = self.load().await?;
+        let needed = needed_parts(present.head());
+        let mut deleted = 0;
+        for entry in &stored {
+            let digest = entry.key.trim_start_matches(PART_PREFIX);
+            let part: Option<Part> = serde_json::from_slice(&entry.value).ok();
+            let is_past = part.is_some_and(|part| part.since <= present.version());
+            if is_past && !needed.contains(digest) {
+                deleted += usize::from(self.store.remove(&entry.key, entry.index).await?);
+            }
+        }
+        Ok(deleted)
+    }
+
     async fn attempt(&self, patch: &Patch) -> Result<Attempt, Error> {
         let present = self.load_stored(&Bundle::default()).await?;
         let version = present.bundle.version();
@@ -183,10 +208,7 @@
         let Ok(present) = self.load().await else {
             return;
         };
-        let head = present.head();
-        let named = head.parts.iter().map(|part| &part.digest);
-        let retired = head.retired.iter().map(|part| &part.digest);
-        let needed: BTreeSet<_> = named.chain(retired).collect();
+        let needed = needed_parts(present.head());
         for (digest, _) in parts.iter().filter(|(digest, _)| !needed.contains(digest)) {
             self.delete_part(digest).await;
         }
@@ -202,6 +224,13 @@
     }
 }
 
+/// Returns the digests of the parts that a version names, also of those that it has retired.
+fn needed_parts(head: &Head) -> BTreeSet<Arc<str>> {
+    let named = head.parts.iter().map(|part| Arc::clone(&part.digest));
+    let retired = head.retired.iter().map(|part| Arc::clone(&part.digest));
+    named.chain(retired).collect()
+}
+
 fn may_have_swapped(error: &platform::Error) -> bool {
     matches!(
         error.kind(),
--- a/crates/protocol/tests/repository.rs
+++ b/crates/protocol/tests/repository.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use filbertbay_protocol::platform::Store;
-use filbertbay_protocol::repository::{ErrorKind, HEAD_KEY, Repository};
+use filbertbay_protocol::repository::{ErrorKind, HEAD_KEY, PART_PREFIX, Repository};
 use filbertbay_state::audit::{Entry, Outcome};
 use filbertbay_state::bundle::Bundle;
 use filbertbay_state::head::{Head, RETIREMENT_MS};
@@ -197,6 +197,12 @@
     assert_eq!(names, applied);
     assert_eq!(bundle.version().0, applied.len() as u64);
     assert!(told.refused.is_disjoint(&names));
+    block_on(repository.collect()).unwrap();
+    let collected = block_on(repository.load()).unwrap();
+    assert_eq!(collected.document().unwrap(), document);
+    let stored = block_on(store.list(PART_PREFIX)).unwrap().len();
+    let head = bundle.head();
+    assert_eq!(stored, head.parts.len() + head.retired.len());
     let audit = block_on(repository.audit()).unwrap();
     let entries = audit
         .iter()
@@ -430,6 +436,22 @@
         .map_err(|error| error.kind())
 }
 
+#[test]
+fn collecting_keeps_the_parts_of_a_patch_that_is_under_way() {
+    let store = Memory::default();
+    let repository = Repository::open(Arc::new(store));
+    let waker = noop_waker();
+    let mut context = Context::from_waker(&waker);
+    let patch = add_centre("caen", Version(0), 1);
+    let mut submission = Box::pin(repository.submit(&patch));
+    for _ in 0..3 {
+        assert!(submission.as_mut().poll(&mut context).is_pending());
+    }
+    assert_eq!(block_on(repository.collect()).unwrap(), 0);
+    assert!(block_on(submission).is_ok());
+    assert_eq!(block_on(repository.load()).unwrap().version(), Version(1));
+}
+
 #[test]
 fn a_lost_race_leaves_no_part_behind_and_takes_none_away() {
     let store = Memory::default();
