--- a/crates/filbertbay/src/control/mod.rs
+++ b/crates/filbertbay/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 mod roster;
 mod service;
+mod share;
 
 use std::io;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use self::membership::Membership;
 use self::service::Service;
 use crate::published::Published;
+use crate::share::Shares;
 
 /// Messages that wait for an actor at most; senders wait when it is full.
 const MAILBOX: usize = 1_024;
@@ -55,6 +57,7 @@
 /// Running control thread; it ends when the handle is dropped.
 #[derive(Debug)]
 pub struct Control {
+    shares: Arc<Shares>,
     runtime: tokio::runtime::Handle,
     leave: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
@@ -73,21 +76,29 @@
             .enable_all()
             .build()?;
         let handle = runtime.handle().clone();
+        let shares = Arc::new(Shares::open(Arc::clone(&parts.published)));
+        let kept = Arc::clone(&shares);
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                LocalSet::new().block_on(&runtime, run(parts, started, left));
+                LocalSet::new().block_on(&runtime, run(parts, kept, started, left));
             })?;
         bound
             .await
             .map_err(|_| io::Error::other("control thread ended"))??;
         Ok(Self {
+            shares,
             runtime: handle,
             leave: Some(leave),
             thread: Some(thread),
         })
     }
 
+    /// Returns this instance's part of the rates.
+    pub fn shares(&self) -> &Arc<Shares> {
+        &self.shares
+    }
+
     /// Returns the runtime of the control thread, for further actors.
     pub fn runtime(&self) -> &tokio::runtime::Handle {
         &self.runtime
@@ -104,44 +115,27 @@
     }
 }
 
-async fn run(parts: Parts, started: oneshot::Sender<io::Result<()>>, leave: oneshot::Receiver<()>) {
-    let Parts {
-        store,
-        identity,
-        seeds,
-        silence_limit,
-        published,
-        log,
-    } = parts;
-    let log = log.new(o!("part" => "control"));
-    let pool = Arc::new(Pool::new(identity.clone()));
+async fn run(
+    parts: Parts,
+    shares: Arc<Shares>,
+    started: oneshot::Sender<io::Result<()>>,
+    leave: oneshot::Receiver<()>,
+) {
+    let log = parts.log.new(o!("part" => "control"));
+    let pool = Arc::new(Pool::new(parts.identity.clone()));
     let (ready, listed) = oneshot::channel();
-    let configuration = Configuration::spawn(
-        Arc::clone(&store),
-        Arc::clone(&pool),
-        Arc::clone(&published),
-        listed,
-        &log,
-    );
-    let membership = Membership::spawn(
-        Arc::clone(&pool),
-        Arc::clone(&published),
-        configuration.clone(),
-        silence_limit,
-    );
-    let service = Service {
-        pool: Arc::clone(&pool),
-        membership: membership.clone(),
-        configuration: configuration.clone(),
-    };
-    let server = match Server::bind(published.own().peers, identity, service).await {
+    let service = spawn_actors(&parts, &pool, &shares, listed, &log);
+    let membership = service.membership.clone();
+    let bound = Server::bind(parts.published.own().peers, parts.identity, service).await;
+    let server = match bound {
         Ok(server) => server,
         Err(error) => return drop(started.send(Err(error))),
     };
     let _ = started.send(Ok(()));
-    for seed in seeds {
+    for seed in parts.seeds {
         let _ = membership.send(membership::Greet(seed)).await;
     }
+    let (store, published) = (parts.store, parts.published);
     let roster = roster::run(
         Arc::clone(&store),
         Arc::clone(&published),
@@ -150,6 +144,14 @@
         log.clone(),
     );
     let roster = tokio::spawn(roster);
+    share::spawn(&share::Parts {
+        shares,
+        store: Arc::clone(&store),
+        pool,
+        published: Arc::clone(&published),
+        membership: membership.clone(),
+        log: log.clone(),
+    });
     // A dropped handle ends the thread as a request to leave does, without the farewell.
     if leave.await.is_ok() {
         roster.abort();
@@ -158,6 +160,36 @@
     drop(server);
 }
 
+/// Spawns the actors and returns the service that answers other instances with them.
+fn spawn_actors(
+    parts: &Parts,
+    pool: &Arc<Pool>,
+    shares: &Arc<Shares>,
+    listed: oneshot::Receiver<()>,
+    log: &Logger,
+) -> Service {
+    let configuration = Configuration::spawn(
+        Arc::clone(&parts.store),
+        Arc::clone(pool),
+        Arc::clone(&parts.published),
+        listed,
+        log,
+    );
+    let membership = Membership::spawn(
+        Arc::clone(pool),
+        Arc::clone(&parts.published),
+        configuration.clone(),
+        Arc::clone(shares),
+        parts.silence_limit,
+    );
+    Service {
+        pool: Arc::clone(pool),
+        membership,
+        configuration,
+        shares: Arc::clone(shares),
+    }
+}
+
 async fn say_farewell(
     store: &dyn Store,
     published: &Published,
