Start callers' buffers small

Cause: an idle caller that had run one statement kept 18.5 kB, most of it two buffers of 8 KiB each.

Ruled out: freeing the buffers of idle sessions by a timer for each session; buffers that start at 1 KiB and grow with the messages need none. The boundary at which answers are written stays at 8 KiB.

Change: capacity and boundary of the caller's frames.

Shown: tests path, rights, input and settings pass (33 tests).

--- a/crates/filbertbay/src/caller/startup.rs
+++ b/crates/filbertbay/src/caller/startup.rs
@@ -30,6 +30,12 @@
 /// Longest message of a startup, in bytes.
 const MAX_STARTUP_BYTES: usize = 10_000;
 
+/// First size of a caller's buffers, in bytes; they grow with the messages.
+const BUFFER_BYTES: usize = 1 << 10;
+
+/// Bytes of an answer that are written at once.
+const FLUSH_BYTES: usize = 8 << 10;
+
 /// Shortest message of a startup: a length and a code.
 const MIN_STARTUP_BYTES: usize = 8;
 
@@ -186,7 +192,9 @@
         let refusal = Refusal::new(State::Protocol, "other instances must use TLS");
         return Err(Failure::Refused(Box::new(stream), refusal));
     }
-    let mut caller = Framed::new(stream, Codec::new(MAX_STARTUP_BYTES));
+    let codec = Codec::new(MAX_STARTUP_BYTES);
+    let mut caller = Framed::with_capacity(stream, codec, BUFFER_BYTES);
+    caller.set_backpressure_boundary(FLUSH_BYTES);
     let admitted = match door {
         Door::Callers => admit_caller(shared, &mut caller, &startup).await?,
         Door::Peers => admit_peer(shared, &mut caller, &startup).await?,
