Keep watchers listed at the platform, and introduce joining instances by another's table

Cause: the platform forgets an instance that does not announce itself for a minute; each announced itself once, so an instance that joined later found an empty list and would have stayed alone. Ruled out: announcements by every instance (42 calls a second at 840, growing with the fleet). Change: watchers announce themselves again after 20 s; an instance that joins asks up to three listed instances, or its seeds, for the whole table, because rumours carry recent changes alone. Conclusion: who joins finds the watchers in the list and all others through them.

--- a/crates/coordination/src/membership/mod.rs
+++ b/crates/coordination/src/membership/mod.rs
@@ -184,6 +184,15 @@
             .map(|row| &row.rumour.instance)
     }
 
+    /// Returns the rumours of all instances that are not removed, for an instance that joins.
+    pub fn snapshot(&self) -> Vec<Rumour> {
+        let present = self
+            .rows
+            .values()
+            .filter(|row| row.rumour.health != Health::Dead);
+        present.map(|row| row.rumour.clone()).collect()
+    }
+
     /// Returns when a message of an instance last came in, if one ever did.
     pub fn heard(&self, name: &str) -> Option<Instant> {
         self.rows.get(name).and_then(|row| row.heard)
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::membership::{Action, Config, Event, Rumour, Table};
+use filbertbay_coordination::membership::{Action, Config, Event, Health, Rumour, Table};
 use filbertbay_state::instance::{Instance, Presence};
 use quickcheck::{Arbitrary, Gen};
 use rand::{Rng, SeedableRng};
@@ -267,6 +267,31 @@
         .quickcheck(property as fn(u64) -> bool);
 }
 
+/// An instance that finds one other learns of the whole fleet from its table, removed ones aside.
+#[test]
+fn one_table_introduces_the_fleet() {
+    let now = Instant::now();
+    let list: Vec<Instance> = (0..100).map(instance).collect();
+    let mut known = Table::open(now, list[0].clone(), Config::default());
+    known.on_event(now, Event::Listed(list.clone()));
+    let mut gone = known.snapshot()[7].clone();
+    gone.health = Health::Dead;
+    let gone_name = Arc::clone(&gone.instance.name);
+    known.on_event(
+        now,
+        Event::Answered {
+            probe: 0,
+            rumours: vec![gone],
+        },
+    );
+
+    let mut joining = Table::open(now, instance(100), Config::default());
+    let rumours = known.snapshot();
+    joining.on_event(now, Event::Answered { probe: 0, rumours });
+    assert_eq!(joining.live().count(), 100);
+    assert!(joining.live().all(|one| one.name != gone_name));
+}
+
 /// The probes that one instance sends per second do not grow with the fleet.
 #[test]
 fn probes_do_not_grow_with_the_fleet() {
--- a/crates/filbertbay/src/control/membership.rs
+++ b/crates/filbertbay/src/control/membership.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::contact::Contact;
-use filbertbay_coordination::membership::{Action, Config, Event, Table};
+use filbertbay_coordination::membership::{Action, Config, Event, Rumour, Table};
 use filbertbay_coordination::share::Holder;
 use filbertbay_protocol::peer::{Heartbeat, PROTOCOL, Relay};
 use filbertbay_state::document::Availability;
@@ -13,6 +13,7 @@
 use filbertbay_transport::peer::Pool;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 use xtra::WeakAddress;
 use xtra::prelude::*;
 
@@ -35,6 +36,8 @@
     published: Arc<Published>,
     configuration: Address<configuration::Configuration>,
     changes: u64,
+    /// Whether the whole table of some other instance was taken in.
+    is_synced: bool,
     contact: Contact,
     shares: Arc<Shares>,
     silence_limit: Option<Duration>,
@@ -58,6 +61,7 @@
             published,
             configuration,
             changes: 0,
+            is_synced: false,
             contact: Contact::open(Instant::now(), data_centre),
             shares,
             silence_limit,
@@ -283,6 +287,7 @@
         let heartbeat = self.heartbeat("");
         let address = context.mailbox().address();
         let pool = Arc::clone(&self.pool);
+        tokio::spawn(sync(Arc::clone(&pool), address.clone(), message.0));
         tokio::spawn(send_probe(pool, address, message.0, GREETING, heartbeat));
     }
 }
@@ -306,17 +311,69 @@
 #[derive(Debug)]
 pub struct Listed(pub Vec<Instance>);
 
+/// Listed instances that are asked for their table when this one joins.
+const SYNC_PEERS: usize = 3;
+
 impl Handler<Listed> for Membership {
     type Return = ();
 
-    async fn handle(&mut self, message: Listed, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: Listed, context: &mut Context<Self>) {
         let now = Instant::now();
         self.contact.hear_platform(now);
+        if !self.is_synced {
+            let own = &self.published.own().name;
+            let others = message.0.iter().filter(|one| one.name != *own);
+            for to in others.choose_multiple(&mut self.rng, SYNC_PEERS) {
+                let address = context.mailbox().address();
+                tokio::spawn(sync(Arc::clone(&self.pool), address, to.peers));
+            }
+        }
         self.table.on_event(now, Event::Listed(message.0));
         self.publish();
     }
 }
 
+async fn sync(pool: Arc<Pool>, address: WeakAddress<Membership>, to: SocketAddr) {
+    let answer = pool
+        .call(to, PROBE_DEADLINE, |client, context| async move {
+            client.members(context).await
+        })
+        .await;
+    if let Ok(rumours) = answer {
+        let _ = address.send(Synced(rumours)).await;
+    }
+}
+
+/// The whole table of another instance.
+#[derive(Debug)]
+struct Synced(Vec<Rumour>);
+
+impl Handler<Synced> for Membership {
+    type Return = ();
+
+    async fn handle(&mut self, message: Synced, _: &mut Context<Self>) {
+        self.is_synced = true;
+        let event = Event::Answered {
+            probe: GREETING,
+            rumours: message.0,
+        };
+        self.table.on_event(Instant::now(), event);
+        self.publish();
+    }
+}
+
+/// Asks for the rumours of all instances that are present.
+#[derive(Debug)]
+pub struct Members;
+
+impl Handler<Members> for Membership {
+    type Return = Vec<Rumour>;
+
+    async fn handle(&mut self, _: Members, _: &mut Context<Self>) -> Vec<Rumour> {
+        self.table.snapshot()
+    }
+}
+
 /// Marks this instance as leaving.
 #[derive(Debug)]
 pub struct Leave;
--- a/crates/filbertbay/src/control/roster.rs
+++ b/crates/filbertbay/src/control/roster.rs
@@ -1,7 +1,7 @@
 //! Announces this instance to the platform and reads the platform's list of instances.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filbertbay_coordination::spread;
 use filbertbay_protocol::platform::{Presence, Store};
@@ -17,6 +17,9 @@
 /// Time between two readings of the list by a watcher.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Time after which a watcher announces itself again; the platform forgets it after a minute.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(20);
+
 /// Shortest wait after a failed call.
 const RETRY_FLOOR: Duration = Duration::from_millis(200);
 
@@ -25,6 +28,9 @@
 
 /// Announces this instance until the platform has heard, then reads the list from time to time.
 ///
+/// The platform forgets who does not announce itself again. Only watchers do: an instance that
+/// joins needs to find some others, and learns of the rest from them.
+///
 /// Every instance reads the list until it shows the instance itself, and with it all that came
 /// before; after that only the watchers of a data centre read it, so that the calls grow with data
 /// centres. `ready` ends after the first reading, whether or not it succeeded.
@@ -40,11 +46,17 @@
     read_list(store.as_ref(), own, &membership, &log).await;
     let _ = ready.send(());
     register(store.as_ref(), own, &log).await;
+    let mut announced = Instant::now();
     let mut is_listed = false;
     let mut wait = RETRY_FLOOR;
     loop {
         tokio::time::sleep(jittered(wait)).await;
-        if !is_listed || is_watcher(&published) {
+        let is_watcher = is_watcher(&published);
+        if is_watcher && announced.elapsed() >= ANNOUNCE_INTERVAL {
+            register(store.as_ref(), own, &log).await;
+            announced = Instant::now();
+        }
+        if !is_listed || is_watcher {
             is_listed |= read_list(store.as_ref(), own, &membership, &log).await;
         }
         let longest = if is_listed {
--- a/crates/filbertbay/src/control/service.rs
+++ b/crates/filbertbay/src/control/service.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::membership::Rumour;
 use filbertbay_coordination::share::{Allocation, Message};
 use filbertbay_protocol::peer::{Heartbeat, Peer, Relay};
 use filbertbay_transport::peer::Pool;
@@ -51,6 +52,13 @@
             .flatten()
     }
 
+    async fn members(self, _: context::Context) -> Vec<Rumour> {
+        self.membership
+            .send(membership::Members)
+            .await
+            .unwrap_or_default()
+    }
+
     async fn announce(self, _: context::Context, from: Arc<str>, version: u64) {
         let Ok(Some(from)) = self.membership.send(membership::Find(from)).await else {
             return;
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -47,7 +47,7 @@
     reason = "the macro documents neither its requests nor its responses"
 )]
 mod service {
-    use super::{Allocation, Arc, Heartbeat, Message, Relay};
+    use super::{Allocation, Arc, Heartbeat, Message, Relay, Rumour};
 
     /// Calls that an instance answers to other instances.
     #[tarpc::service]
@@ -58,6 +58,9 @@
         /// Probes another instance for the sender and returns its answer.
         async fn relay(relay: Relay) -> Option<Heartbeat>;
 
+        /// Returns every instance that the answering one holds to be present.
+        async fn members() -> Vec<Rumour>;
+
         /// Takes note of the configuration version of an instance.
         async fn announce(from: Arc<str>, version: u64);
 
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filbertbay_coordination::membership::Rumour;
 use filbertbay_coordination::share::{Allocation, Message};
 use filbertbay_protocol::peer::{Heartbeat, Peer, Relay};
 use filbertbay_transport::peer::{ErrorKind, Pool, Server};
@@ -30,6 +31,10 @@
         std::future::pending().await
     }
 
+    async fn members(self, _: Context) -> Vec<Rumour> {
+        Vec::new()
+    }
+
     async fn announce(self, _: Context, _: Arc<str>, _: u64) {}
 
     async fn head(self, _: Context, above: u64) -> Option<Vec<u8>> {
@@ -182,7 +187,6 @@
 }
 
 fn relay() -> Relay {
-    use filbertbay_coordination::membership::Rumour;
     use filbertbay_state::instance::{Instance, Presence};
     let address = "127.0.0.1:1".parse().unwrap();
     let instance = Instance {
