Test that a lane starts empty at its new holder

Ruled out: catching it by the random histories; questions of borrowers open the account of nearly every instance before the lane arrives.

--- a/crates/coordination/tests/share.rs
+++ b/crates/coordination/tests/share.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::share::{Allocation, LANES};
+use filbertbay_coordination::share::{Admission, Allocation, Config, LANES, Ledger};
 use filbertbay_state::document::Rate;
 use fleet::Fleet;
 use quickcheck::{Arbitrary, Gen};
@@ -420,3 +420,19 @@
     steps.push(Step::Flood { workspace });
     assert!(never_above_rate_and_burst(steps));
 }
+
+#[test]
+fn a_lane_starts_empty_at_its_new_holder() {
+    let start = Instant::now();
+    let mut ledger = Ledger::open("instance-0", "centre-0", 1, Config::default());
+    ledger.adopt(
+        start,
+        Arc::new(Allocation::even(&[("instance-0", 1, "centre-0")])),
+    );
+    ledger.extend(start);
+    let (workspace, now) = (name(SLOW), start + Duration::from_secs(1));
+    let rate = rates()[&workspace];
+    let runs = |_: &u32| ledger.take(now, &workspace, rate, 1) == Admission::Run;
+    // One second of refill, not the burst of 96.
+    assert_eq!((0..100).filter(runs).count(), 4);
+}
