Split the ledger of shares into smaller modules

Ruled out: no change of behaviour is meant; code is moved, not rewritten. Change: share::config, entry (open questions and pauses) and meter (demand) are modules of their own; the public names stay the same.

--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -46,15 +46,19 @@
 
 mod account;
 mod allocation;
+mod config;
+mod entry;
 mod fraction;
 mod ledger;
 mod loan;
 mod message;
+mod meter;
 mod plan;
 
 pub use self::allocation::{Allocation, GROUPS, Holder, LANES};
+pub use self::config::Config;
 pub use self::fraction::Fraction;
-pub use self::ledger::{Admission, Config, Envelope, Ledger};
+pub use self::ledger::{Admission, Envelope, Ledger};
 pub use self::loan::Loan;
 pub use self::message::{Ask, Deny, Grant, Message, Return};
 
--- a/crates/coordination/src/share/account.rs
+++ b/crates/coordination/src/share/account.rs
@@ -4,17 +4,12 @@
 use filbertbay_state::document::Rate;
 
 use super::loan::{guarded, within};
+use super::meter::Meter;
 use super::{Ask, Config, Fraction, Grant, LANES, Loan, MICROS_PER_TOKEN, Return};
 
 /// Micro-tokens that an instance asks for beyond what it needs at once, as time of its demand.
 const LOOK_AHEAD: Duration = Duration::from_millis(50);
 
-/// Time over which demand is averaged.
-const DEMAND_WINDOW: Duration = Duration::from_secs(1);
-
-/// Time within which demand is added up without decay.
-const DEMAND_STEP: Duration = Duration::from_millis(1);
-
 /// Tokens that a borrower must expect to use in one lease before it asks for refill.
 const STEADY_TOKENS: u64 = 4;
 
@@ -59,13 +54,6 @@
     lent: Vec<Loan>,
 }
 
-/// Tokens wanted per window, decaying exponentially in steps of time.
-#[derive(Clone, Copy, Debug)]
-struct Meter {
-    micros: f64,
-    at: Instant,
-}
-
 /// What an account lacks.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Need {
@@ -91,28 +79,6 @@
     }
 }
 
-impl Meter {
-    fn add(&mut self, now: Instant, micros: u64) {
-        self.decay(now);
-        self.micros += micros as f64;
-    }
-
-    fn decay(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.at);
-        if passed < DEMAND_STEP {
-            return;
-        }
-        self.micros *= (-passed.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
-        self.at = now;
-    }
-
-    /// Returns micro-tokens a second.
-    fn per_second(&mut self, now: Instant) -> u64 {
-        self.decay(now);
-        (self.micros / DEMAND_WINDOW.as_secs_f64()) as u64
-    }
-}
-
 impl Account {
     /// Opens an account that has been filling in silence; `tokens` is what its lanes gained.
     pub(super) fn open(now: Instant, rate: Rate, base: Fraction, tokens: u64) -> Self {
--- a/crates/coordination/src/share/ledger.rs
+++ b/crates/coordination/src/share/ledger.rs
@@ -5,9 +5,10 @@
 use filbertbay_state::document::Rate;
 
 use super::account::{Account, Need};
+use super::entry::{Entry, LONGEST_PAUSE, Pending};
 use super::{
-    Allocation, Ask, Deny, Fraction, GROUPS, Grant, Holder, LANES, MICROS_PER_TOKEN, Message,
-    Return,
+    Allocation, Ask, Config, Deny, Fraction, GROUPS, Grant, Holder, LANES, MICROS_PER_TOKEN,
+    Message, Return,
 };
 
 /// Messages that wait for the driver; with more waiting no further question is asked.
@@ -16,92 +17,9 @@
 /// Shortest time after which a waiting statement is decided again.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1);
 
-/// Shortest time before a lender that refused is asked again.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
-
-/// Longest time to which refusals in a row extend a pause that the lender wanted shorter.
-const LONGEST_DOUBLED: Duration = Duration::from_millis(100);
-
-/// Longest time before a lender that refused is asked again.
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-
 /// Number of bits by which an incarnation is shifted to start the numbers of its questions.
 const INCARNATION_SHIFT: u32 = 20;
 
-/// Options of a [`Ledger`].
-///
-/// # Examples
-///
-/// ```
-/// use std::time::Duration;
-/// use filbertbay_coordination::share::Config;
-///
-/// let config = Config::default().lease(Duration::from_secs(5));
-/// assert_eq!(config.lease, Duration::from_secs(5));
-/// ```
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Config {
-    /// Length of a loan that carries refill.
-    pub lease: Duration,
-    /// Length of a loan that carries tokens alone.
-    pub escrow: Duration,
-    /// Longest wait for the answer to a question.
-    pub answer: Duration,
-    /// Longest wait of a statement for tokens.
-    pub patience: Duration,
-    /// Time without proof of tenure after which an instance stops spending its lanes.
-    pub fence: Duration,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            lease: Duration::from_secs(2),
-            escrow: Duration::from_millis(250),
-            answer: Duration::from_millis(150),
-            patience: Duration::from_millis(400),
-            fence: Duration::from_secs(8),
-        }
-    }
-}
-
-impl Config {
-    /// Sets the length of a loan that carries refill.
-    #[must_use]
-    pub fn lease(mut self, lease: Duration) -> Self {
-        self.lease = lease;
-        self
-    }
-
-    /// Sets the length of a loan that carries tokens alone.
-    #[must_use]
-    pub fn escrow(mut self, escrow: Duration) -> Self {
-        self.escrow = escrow;
-        self
-    }
-
-    /// Sets the longest wait for an answer.
-    #[must_use]
-    pub fn answer(mut self, answer: Duration) -> Self {
-        self.answer = answer;
-        self
-    }
-
-    /// Sets the longest wait of a statement for tokens.
-    #[must_use]
-    pub fn patience(mut self, patience: Duration) -> Self {
-        self.patience = patience;
-        self
-    }
-
-    /// Sets the time after which an instance without proof of tenure stops spending.
-    #[must_use]
-    pub fn fence(mut self, fence: Duration) -> Self {
-        self.fence = fence;
-        self
-    }
-}
-
 /// Decision on one statement.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -148,30 +66,6 @@
     next_id: u64,
 }
 
-#[derive(Debug)]
-struct Entry {
-    account: Account,
-    group: usize,
-    pending: Vec<Pending>,
-    pauses: Vec<Pause>,
-}
-
-#[derive(Clone, Debug)]
-struct Pending {
-    ask: u64,
-    peer: Arc<str>,
-    asked: Instant,
-    renews: bool,
-}
-
-/// Time during which a lender that refused is left alone.
-#[derive(Clone, Debug)]
-struct Pause {
-    peer: Arc<str>,
-    until: Instant,
-    length: Duration,
-}
-
 impl Ledger {
     /// Opens an empty ledger, which holds no lanes yet.
     pub fn open<N, D>(name: N, data_centre: D, incarnation: u64, config: Config) -> Self
@@ -544,60 +438,6 @@
     }
 }
 
-impl Entry {
-    fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.pauses.is_empty() && self.account.is_idle()
-    }
-
-    fn may_ask(&self, now: Instant, peer: &Arc<str>) -> bool {
-        let pauses = |pause: &Pause| pause.peer == *peer && pause.until > now;
-        let paused = self.pauses.iter().any(pauses);
-        let mut open = self.pending.iter().filter(|pending| !pending.renews);
-        !paused && open.all(|pending| pending.peer != *peer)
-    }
-
-    fn renews(&self, peer: &Arc<str>) -> bool {
-        let mut open = self.pending.iter();
-        open.any(|pending| pending.renews && pending.peer == *peer)
-    }
-
-    /// Closes an open question and returns it.
-    fn close(&mut self, peer: &Arc<str>, ask: u64) -> Option<Pending> {
-        let matches = |pending: &Pending| pending.ask == ask && pending.peer == *peer;
-        let index = self.pending.iter().position(matches)?;
-        Some(self.pending.swap_remove(index))
-    }
-
-    /// Leaves a lender alone for at least the time it asked for, longer with each refusal.
-    fn leave_alone(&mut self, now: Instant, peer: &Arc<str>, asked_for: Duration) {
-        let last = self.pauses.iter().find(|pause| pause.peer == *peer);
-        let doubled = last.map_or(SHORTEST_PAUSE, |pause| pause.length * 2);
-        let length = asked_for
-            .max(doubled.min(LONGEST_DOUBLED))
-            .min(LONGEST_PAUSE);
-        self.pauses.retain(|pause| pause.peer != *peer);
-        self.pauses.push(Pause {
-            peer: Arc::clone(peer),
-            until: now + length,
-            length,
-        });
-    }
-
-    /// Drops questions that went unanswered and pauses that are over.
-    fn forget(&mut self, now: Instant, answer: Duration) {
-        // A pause that is over is remembered for as long as it was, so that the next one is longer.
-        self.pauses.retain(|pause| pause.until + pause.length > now);
-        let late = |pending: &Pending| pending.asked + answer <= now;
-        let lost: Vec<Pending> = self
-            .pending
-            .extract_if(.., |pending| late(pending))
-            .collect();
-        for pending in lost.iter().filter(|pending| !pending.renews) {
-            self.leave_alone(now, &pending.peer, answer);
-        }
-    }
-}
-
 fn lanes(counts: &[u8], group: usize, fenced: bool) -> Fraction {
     if fenced {
         return Fraction::ZERO;
