Let a lone instance serve again soon after a restart, and repeat undecided rounds sooner

Cause: an instance that was restarted under its name held no lanes for 5 s and more, and with nobody to borrow from refused everything while /health said 200; undecided confirmation rounds were repeated after 5 ms, longer than replicas need. Ruled out: readiness by the record alone (it may name only the former self). Change: lanes of a former self pass on after 3 s, more than any loan; an instance without lanes looks each 0.3 s; readiness needs lanes here or at a live instance; rounds repeat after 1, 2, 4 ms and on. Conclusion: health now tells the truth at a restart.

--- a/crates/coordination/src/authority/confirm.rs
+++ b/crates/coordination/src/authority/confirm.rs
@@ -73,7 +73,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            first_repeat: Duration::from_millis(5),
+            first_repeat: Duration::from_millis(1),
             max_repeat: Duration::from_millis(40),
             max_requests: 65_536,
         }
--- a/crates/filbertbay/src/control/share.rs
+++ b/crates/filbertbay/src/control/share.rs
@@ -41,8 +41,8 @@
 /// that starts together shares evenly from the first record on.
 const FIRST_RECORD_AFTER: Duration = Duration::from_secs(3);
 
-/// Time between two readings of the record until there is one.
-const FIRST_RECORD_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two readings of the record while this instance holds no lanes.
+const LANELESS_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time without a sign of an instance before its lanes pass on; longer than the time after which
 /// it stops spending them for want of proof.
@@ -50,7 +50,7 @@
 
 /// Time after the end of an incarnation, known from its successor, before its lanes pass on; longer
 /// than any loan that may rest on them.
-const SUCCEEDED_AFTER: Duration = Duration::from_secs(5);
+const SUCCEEDED_AFTER: Duration = Duration::from_secs(3);
 
 /// What the tasks work with.
 #[derive(Clone, Debug)]
@@ -192,11 +192,16 @@
 
     async fn run(mut self) {
         loop {
-            let is_known = self.parts.shares.allocation().epoch > 0;
-            let interval = if is_known {
+            let own = self.parts.published.own();
+            let held = self
+                .parts
+                .shares
+                .allocation()
+                .held(&own.name, own.incarnation);
+            let interval = if held > 0 {
                 RECORD_INTERVAL
             } else {
-                FIRST_RECORD_INTERVAL
+                LANELESS_INTERVAL
             };
             sleep(roster::jittered(interval)).await;
             let Ok(census) = self.parts.membership.send(Census).await else {
--- a/crates/filbertbay/src/daemon.rs
+++ b/crates/filbertbay/src/daemon.rs
@@ -129,12 +129,12 @@
 /// Returns a receiver that tells whether the instance has a configuration and knows its shares.
 fn watch_readiness(published: &Published, shares: &Shares) -> watch::Receiver<bool> {
     let (sender, receiver) = watch::channel(false);
-    let (mut snapshots, mut epochs) = (published.subscribe(), shares.subscribe_epoch());
+    let (mut snapshots, mut served) = (published.subscribe(), shares.subscribe_served());
     tokio::spawn(async move {
         let configured = snapshots.wait_for(|snapshot| snapshot.version().0 > 0);
         // Both results are reduced at once: the references in them must not be held over a wait.
         let configured = configured.await.is_ok();
-        let shared = epochs.wait_for(|epoch| *epoch > 0).await.is_ok();
+        let shared = served.wait_for(|served| *served).await.is_ok();
         if configured && shared {
             sender.send_replace(true);
         }
--- a/crates/filbertbay/src/share.rs
+++ b/crates/filbertbay/src/share.rs
@@ -25,7 +25,7 @@
     state: Mutex<State>,
     answered: Notify,
     outgoing: Notify,
-    epoch: watch::Sender<u64>,
+    served: watch::Sender<bool>,
 }
 
 #[derive(Debug)]
@@ -59,15 +59,15 @@
             state: Mutex::new(state),
             answered: Notify::new(),
             outgoing: Notify::new(),
-            epoch: watch::Sender::new(0),
+            served: watch::Sender::new(false),
         }
     }
 
     /// Waits until it is known whether statements are within the workspace's rate.
     pub async fn admit(&self, demand: Demand) -> bool {
-        // Before the first record nobody can tell what is within the rate.
-        let mut epoch = self.epoch.subscribe();
-        let known = epoch.wait_for(|epoch| *epoch > 0);
+        // Without lanes here or elsewhere nobody can tell what is within the rate.
+        let mut served = self.served.subscribe();
+        let known = served.wait_for(|served| *served);
         if timeout_at(demand.deadline.into(), known).await.is_err() {
             return false;
         }
@@ -159,6 +159,7 @@
         let has_messages = state.ledger.has_messages();
         metrics::gauge!("filbertbay_share_workspaces").set(state.ledger.active() as f64);
         drop(state);
+        self.note_served();
         if has_messages {
             self.outgoing.notify_one();
         }
@@ -169,9 +170,9 @@
         Arc::clone(&self.state.lock().allocation)
     }
 
-    /// Returns a receiver of the epoch of the record in use, zero before the first.
-    pub fn subscribe_epoch(&self) -> watch::Receiver<u64> {
-        self.epoch.subscribe()
+    /// Returns a receiver that tells whether tokens can be taken or borrowed here.
+    pub fn subscribe_served(&self) -> watch::Receiver<bool> {
+        self.served.subscribe()
     }
 
     /// Takes a newer record of holders into use.
@@ -181,7 +182,6 @@
             return;
         }
         metrics::gauge!("filbertbay_share_epoch").set(allocation.epoch as f64);
-        self.epoch.send_replace(allocation.epoch);
         state.ledger.adopt(now, Arc::clone(&allocation));
         state.allocation = allocation;
         // Lanes on their way to another instance must not be spent again.
@@ -189,6 +189,26 @@
         for slot in giving.iter() {
             ledger.release(*slot);
         }
+        // Whoever waits for tokens can now take or borrow them.
+        drop(state);
+        self.note_served();
+        self.answered.notify_waiters();
+    }
+
+    fn note_served(&self) {
+        if !*self.served.borrow() && self.can_serve(&self.allocation()) {
+            self.served.send_replace(true);
+        }
+    }
+
+    /// Tells whether this instance holds lanes, or others do that it can borrow from.
+    fn can_serve(&self, allocation: &Allocation) -> bool {
+        let own = self.published.own();
+        let instances = self.published.instances();
+        allocation.held(&own.name, own.incarnation) > 0
+            || instances
+                .iter()
+                .any(|one| allocation.held(&one.name, one.incarnation) > 0)
     }
 
     /// Stops spending lanes that are about to pass on; returns how long loans may rest on them.
