Take no superseded primary for a replica

A member that is cut off and still believes it leads was no longer the view's primary, so it counted as a replica: reads in its data centre, which is preferred, ran there without proof and showed writes that no other member had. Change: a member serves as a replica only if it last said that it is one. Left: a view that is up to 100 ms old may still call a member a replica that was just promoted.

--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -37,6 +37,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_state::document::Availability;
+use filbertbay_state::status::Role;
 use rand::Rng;
 use strum::{Display, EnumString};
 
@@ -193,7 +194,11 @@
     if !is_replica || member.availability == Availability::Out {
         return false;
     }
-    let Some(observation) = member.observation else {
+    // A member that believes it leads may hold writes that no other member has.
+    let observation = member
+        .observation
+        .filter(|seen| seen.status.role == Role::Replica);
+    let Some(observation) = observation else {
         return false;
     };
     let has_floor = read
