Answer statements that meet the end of a session truthfully

A statement that was on its way when an idle session was ended got 57P01 'connect again', which does not say whether it ran; it had not. Ruled out: a cut of running work (drain lets it finish, and the statement never reached an endpoint). Change: the farewell says that what was not answered was not run, which holds because it is sent between statements alone; after it the session reads on for up to 1 s, so that unread bytes don't reset the connection before the caller has the message.

--- a/crates/filbertbay/src/caller/guard.rs
+++ b/crates/filbertbay/src/caller/guard.rs
@@ -173,17 +173,18 @@
         } else if is_out && self.identity.is_some() {
             Some(Refusal::new(
                 State::Leaving,
-                "the data centre is taken out; connect again",
+                "the data centre is taken out; what was not answered was not run; connect again",
             ))
         } else if is_cut_off && self.identity.as_ref().is_some_and(|who| who.key.is_some()) {
             Some(Refusal::new(
                 State::Leaving,
-                "the instance is cut off and can't check the key; connect elsewhere",
+                "the instance is cut off and can't check the key; what was not answered was not run; \
+                 connect elsewhere",
             ))
         } else if phase != Phase::Serving {
             Some(Refusal::new(
                 State::Leaving,
-                "the instance is shutting down; connect again",
+                "the instance is shutting down; what was not answered was not run; connect again",
             ))
         } else {
             None
--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -38,6 +38,9 @@
 /// Time that a caller has to take the last message of its session.
 const FAREWELL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for a caller to close its side after the farewell.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Session of one caller.
 #[derive(Debug)]
 pub struct Session {
@@ -164,6 +167,9 @@
             let _ = timeout(FAREWELL_TIMEOUT, farewell).await;
         }
         let _ = timeout(FAREWELL_TIMEOUT, SinkExt::<Frame>::close(&mut self.caller)).await;
+        // Closing with unread bytes resets the connection, and the farewell could be lost on its way.
+        let rest = async { while let Some(Ok(_)) = self.caller.next().await {} };
+        let _ = timeout(LINGER, rest).await;
     }
 
     /// Takes one message, or notes that the session must end.
--- a/crates/filbertbay/tests/rights.rs
+++ b/crates/filbertbay/tests/rights.rs
@@ -151,6 +151,40 @@
     assert_eq!(count(&fixture).await, 2);
 }
 
+/// A statement that meets the start of a drain is run and acknowledged, or was not run; where the
+/// caller is told why, it is told that too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_that_meets_a_drain_is_answered_truthfully() {
+    let fixture = spawn(Options::default()).await;
+    table(&fixture).await;
+    let mut acknowledged = 0;
+    for round in 0..40 {
+        let client = fixture.connect().await;
+        let insert = format!("INSERT INTO lilies VALUES ({round})");
+        let draining = async {
+            // Half of the rounds let the statement leave first.
+            if round % 2 == 0 {
+                tokio::task::yield_now().await;
+            }
+            let limit = Instant::now() + DEADLINE;
+            fixture.phase.send_replace(Phase::Draining(limit));
+        };
+        let (told, ()) = tokio::join!(client.batch_execute(&insert), draining);
+        match told {
+            Ok(()) => acknowledged += 1,
+            Err(error) => {
+                if let Some(error) = error.as_db_error() {
+                    assert_eq!(error.code().code(), "57P01");
+                    assert!(error.message().contains("not run"), "{error}");
+                }
+            }
+        }
+        closed(&client).await;
+        fixture.phase.send_replace(Phase::Serving);
+        assert_eq!(count(&fixture).await, acknowledged, "round {round}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_cancels_its_own_statement() {
     let fixture = spawn(Options {
