Refuse a write that meets a fence as not run

Ruled out: placing the write again at once (the new primary is not known yet, so attempts end in a moment; a wait of the queue's length would serve, and is left). Change: outside of a transaction a 25006 of the primary becomes 57P03 'not run: the primary is being replaced'. Conclusion: callers are told the truth and may repeat.

--- a/crates/filbertbay/src/caller/relay.rs
+++ b/crates/filbertbay/src/caller/relay.rs
@@ -16,6 +16,7 @@
 use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
 use tokio::time::{sleep_until, timeout_at};
 
+use super::answer::{Refusal, State};
 use super::guard::Guard;
 use super::work::{self, Step, Work};
 use super::{Caller, answer, cancel};
@@ -392,6 +393,12 @@
         if self.hold == Hold::Start {
             self.release().await?;
         }
+        // Outside of a transaction only a member that no longer leads refuses a change like this,
+        // and the whole message is rolled back.
+        if is_refused && self.hold == Hold::Changes && !self.in_transaction {
+            let refusal = Refusal::not_run(State::Unavailable, "the primary is being replaced");
+            return self.pass(refusal.error()).await;
+        }
         self.pass(frame).await
     }
 
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -12,7 +12,7 @@
 use futures::future::join_all;
 use tokio::time::timeout;
 use tokio_postgres::types::Type;
-use tokio_postgres::{Client, SimpleQueryMessage};
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 async fn table(fixture: &Fixture) -> Client {
     let client = fixture.connect().await;
@@ -207,6 +207,41 @@
     client.query_one("SELECT 1", &[]).await.expect("goes on");
 }
 
+/// A primary that was fenced changes nothing more; the view may not know that yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_that_meets_a_fence_is_refused_as_not_run() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let member = fixture.group.primary().address();
+    let direct = format!(
+        "host={} port={} user=t password={} dbname=orders",
+        member.ip(),
+        member.port(),
+        common::PASSWORD
+    );
+    let (direct, connection) = tokio_postgres::connect(&direct, NoTls)
+        .await
+        .expect("direct");
+    tokio::spawn(connection);
+    direct
+        .simple_query("SELECT group_fence(9)")
+        .await
+        .expect("fenced");
+    let insert = "INSERT INTO lilies VALUES (1, 'red', 0)";
+    let simple = client.batch_execute(insert).await.expect_err("fenced");
+    let extended = client.execute(insert, &[]).await.expect_err("fenced");
+    for error in [simple, extended] {
+        assert_eq!(state(&error), "57P03");
+        let message = error.as_db_error().expect("told").message();
+        assert!(message.starts_with("not run"), "{message}");
+    }
+    let rows = direct
+        .query_one("SELECT count(*) FROM lilies", &[])
+        .await
+        .expect("read");
+    assert_eq!(rows.get::<_, i64>(0), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unconfirmed_write_is_never_acknowledged() {
     let fixture = spawn(Options::default()).await;
