--- a/crates/filbertbay/src/caller/session.rs
+++ b/crates/filbertbay/src/caller/session.rs
@@ -14,6 +14,7 @@
 use filbertbay_protocol::sql::{self, Class};
 use filbertbay_transport::wire::{Frame, kind, status};
 use futures::{SinkExt, StreamExt};
+use metrics::counter;
 use pgwire::messages::response::TransactionStatus;
 use tokio::time::{sleep_until, timeout};
 
@@ -305,7 +306,9 @@
             if attempt == 1 {
                 self.shared.pool.earn_retry(&target.group, target.member);
             }
+            let since = Instant::now();
             let (end, open) = self.relay(open, &work, fresh).await;
+            count_statement(target.is_primary, since.elapsed());
             let may_repeat = fresh && attempt < MAX_ATTEMPTS;
             match end {
                 // The replica knows better than the class: the work changes something.
@@ -540,10 +543,12 @@
             return self.answer_error(refusal).await;
         }
         self.is_skipping = true;
+        count_refusal(refusal);
         Ok(self.caller.send(refusal.error()).await?)
     }
 
     async fn answer_error(&mut self, refusal: &Refusal) -> Result<(), Close> {
+        count_refusal(refusal);
         self.caller.feed(refusal.error()).await?;
         self.answer_ready().await
     }
@@ -573,3 +578,15 @@
 fn protocol(message: &str) -> Close {
     Close::Refused(Refusal::new(State::Protocol, message))
 }
+
+fn count_statement(is_primary: bool, took: Duration) {
+    let target = if is_primary { "primary" } else { "replica" };
+    counter!("filbertbay_statements_total", "target" => target).increment(1);
+    let micros = took.as_micros() as u64;
+    counter!("filbertbay_statement_microseconds_total", "target" => target).increment(micros);
+}
+
+fn count_refusal(refusal: &Refusal) {
+    let state: &'static str = refusal.state.into();
+    counter!("filbertbay_refusals_total", "sqlstate" => state).increment(1);
+}
