Say once what stood twice: edits of items, direct connections, messages of the model

Ruled out: one command for all items (the help of each names its own options). Change: operator::Edit; Fixture::direct; model/link.rs holds the messages.

--- /dev/null
+++ b/crates/coordination/tests/model/link.rs
@@ -0,0 +1,135 @@
+//! Messages between instances, members and the platform: lost, late, doubled and cut off.
+
+use std::time::Instant;
+
+use rand::Rng;
+
+use super::*;
+
+impl World {
+    /// Sends a message to a member; it may be lost, late or doubled.
+    pub fn send(&mut self, from: usize, to: usize, call: Call) {
+        let event = Event::Call {
+            from,
+            to,
+            sent: self.now,
+            call,
+        };
+        self.transmit(&event);
+    }
+
+    pub(super) fn transmit(&mut self, event: &Event) {
+        let copies = if self.rng.random_bool(0.02) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.is_lost() {
+                continue;
+            }
+            let is_late = self.rng.random_bool(0.02);
+            let range = if is_late { 200..4_000 } else { 1..25 };
+            self.after(range, event.clone());
+        }
+    }
+
+    pub(super) fn is_lost(&mut self) -> bool {
+        let loss = if self.now < self.end_of_faults {
+            self.shape.loss
+        } else {
+            0.0
+        };
+        self.rng.random_bool(loss)
+    }
+
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cut.contains(&(a.min(b), a.max(b)))
+    }
+
+    pub(super) fn instance_node(&self, instance: usize) -> usize {
+        self.members.len() + instance
+    }
+
+    pub(super) fn answer(&mut self, from: usize, to: usize, sent: Instant, call: Call) {
+        if self.is_cut(self.instance_node(from), to) || !self.members[to].is_up {
+            return;
+        }
+        let now = self.now;
+        let member = &mut self.members[to];
+        let reply = match call {
+            Call::Status(_) => Reply::Status(Some(member.status(now))),
+            Call::Order(order) => {
+                let taken = member.order(order);
+                if let failover::Order::Promote(term) = order
+                    && taken
+                {
+                    let log = self.members[to].ids();
+                    self.promotions.push(Promotion {
+                        term,
+                        member: to,
+                        at: now,
+                        log,
+                    });
+                }
+                Reply::Status(taken.then(|| self.members[to].status(now)))
+            }
+            Call::Write { id, .. } => Reply::Wrote(member.write(id).then_some(now)),
+            Call::Read { .. } => Reply::Read(member.applied(), member.visible()),
+        };
+        self.transmit(&Event::Reply {
+            from: to,
+            to: from,
+            sent,
+            call,
+            reply,
+        });
+    }
+
+    pub(super) fn take(&mut self, from: usize, to: usize, sent: Instant, call: Call, reply: Reply) {
+        if self.is_cut(self.instance_node(to), from) {
+            return;
+        }
+        match (call, reply) {
+            (Call::Status(round), Reply::Status(Some(status))) => {
+                self.observe(to, from, sent, status);
+                self.confirm(
+                    to,
+                    confirm::Event::Answered {
+                        round,
+                        member: from,
+                        status,
+                    },
+                );
+            }
+            (Call::Order(order), Reply::Status(status)) => {
+                let answer = status.map_or(failover::Answer::Refused, failover::Answer::Accepted);
+                self.failover(to, failover::Event::Answered(from, order, answer));
+            }
+            (
+                Call::Write {
+                    id,
+                    term,
+                    durability,
+                },
+                Reply::Wrote(Some(ran)),
+            ) => {
+                let known = self.instances[to].tickets.values();
+                if known
+                    .into_iter()
+                    .any(|t| matches!(t, Ticket::Write { id: i, .. } if *i == id))
+                {
+                    return;
+                }
+                let ticket = Ticket::Write {
+                    id,
+                    ran,
+                    term,
+                    durability,
+                };
+                let ticket = self.ticket(to, ticket);
+                self.finish(to, ticket, Some((from, term)), durability);
+            }
+            (Call::Read { caller, floor }, Reply::Read(position, seen)) => {
+                self.saw(caller, to, from, sent, floor, position, &seen);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -284,6 +284,17 @@
             .await
             .expect("the instance takes the caller")
     }
+
+    /// Connects to the primary itself, past the instance.
+    pub async fn direct(&self) -> Client {
+        let member = self.group.primary().address();
+        let mut config = Config::new();
+        config.host(member.ip().to_string()).port(member.port());
+        config.user("direct").password(PASSWORD).dbname("orders");
+        connect(&config)
+            .await
+            .expect("the primary takes the caller")
+    }
 }
 
 /// Connects a caller.
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -12,7 +12,7 @@
 use futures::future::join_all;
 use tokio::time::timeout;
 use tokio_postgres::types::Type;
-use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+use tokio_postgres::{Client, SimpleQueryMessage};
 
 async fn table(fixture: &Fixture) -> Client {
     let client = fixture.connect().await;
@@ -212,17 +212,7 @@
 async fn a_write_that_meets_a_fence_is_refused_as_not_run() {
     let fixture = spawn(Options::default()).await;
     let client = table(&fixture).await;
-    let member = fixture.group.primary().address();
-    let direct = format!(
-        "host={} port={} user=t password={} dbname=orders",
-        member.ip(),
-        member.port(),
-        common::PASSWORD
-    );
-    let (direct, connection) = tokio_postgres::connect(&direct, NoTls)
-        .await
-        .expect("direct");
-    tokio::spawn(connection);
+    let direct = fixture.direct().await;
     direct
         .simple_query("SELECT group_fence(9)")
         .await
--- a/crates/filbertbay/tests/rights.rs
+++ b/crates/filbertbay/tests/rights.rs
@@ -25,15 +25,7 @@
 }
 
 async fn count(fixture: &Fixture) -> i64 {
-    let member = fixture.group.primary().address();
-    let text = format!(
-        "host={} port={} user=t password={} dbname=orders",
-        member.ip(),
-        member.port(),
-        common::PASSWORD
-    );
-    let (client, connection) = tokio_postgres::connect(&text, NoTls).await.expect("direct");
-    tokio::spawn(connection);
+    let client = fixture.direct().await;
     client
         .query_one("SELECT count(*) FROM lilies", &[])
         .await
--- a/crates/filbertctl/src/command/data_centre.rs
+++ b/crates/filbertctl/src/command/data_centre.rs
@@ -1,12 +1,11 @@
 //! `filbertctl data-centre`.
 
 use bpaf::Bpaf;
-use filbertbay_state::document::Availability;
-use filbertbay_state::patch::Change;
+use filbertbay_state::document::{Availability, Document};
 use serde_json::{Value, json};
 
 use crate::exit::Failure;
-use crate::operator::{Labels, Operator, Target, expect_absent, expect_present, labels, target};
+use crate::operator::{Edit, Labels, Operator, Target, labels, target};
 use crate::output;
 
 /// What to do with data centres.
@@ -109,20 +108,15 @@
     settings: Value,
     verb: &str,
 ) -> Result<(), Failure> {
-    let operator = Operator::open(target)?;
-    let present = operator.load().await?;
-    if labels.id.is_none() {
-        let known = present.document.data_centres.contains_key(name);
-        match verb {
-            "add" => expect_absent(known, "data centre", name)?,
-            _ => expect_present(known, "data centre", name)?,
-        }
-    }
-    let change = Change::Merge(json!({"data_centres": {name: settings}}));
-    let reason = format!("data-centre {verb} {name}");
-    operator
-        .change(labels, present.version, change, &reason)
-        .await
+    let edit = Edit {
+        kind: "data centre",
+        name,
+        is_new: verb == "add",
+        change: json!({"data_centres": {name: settings}}),
+        reason: format!("data-centre {verb} {name}"),
+    };
+    let is_known = |document: &Document| document.data_centres.contains_key(name);
+    edit.submit(target, labels, is_known).await
 }
 
 async fn list(target: &Target) -> Result<(), Failure> {
--- a/crates/filbertctl/src/command/member.rs
+++ b/crates/filbertctl/src/command/member.rs
@@ -3,14 +3,11 @@
 use std::net::SocketAddr;
 
 use bpaf::Bpaf;
-use filbertbay_state::document::Availability;
-use filbertbay_state::patch::Change;
+use filbertbay_state::document::{Availability, Document};
 use serde_json::{Value, json};
 
 use crate::exit::Failure;
-use crate::operator::{
-    Labels, Operator, Present, Target, expect_absent, expect_present, labels, target,
-};
+use crate::operator::{Edit, Labels, Target, labels, target};
 
 /// Member of a group.
 #[derive(Clone, Debug, Bpaf)]
@@ -145,23 +142,18 @@
     verb: &str,
 ) -> Result<(), Failure> {
     let Name { group, member } = name;
-    let operator = Operator::open(target)?;
-    let present = operator.load().await?;
-    if labels.id.is_none() {
-        let known = has_member(&present, group, member);
-        match verb {
-            "add" => expect_absent(known, "member", member)?,
-            _ => expect_present(known, "member", member)?,
-        }
-    }
-    let change = Change::Merge(json!({"groups": {group: {"members": {member: settings}}}}));
-    let reason = format!("member {verb} {group} {member}");
-    operator
-        .change(labels, present.version, change, &reason)
-        .await
+    let edit = Edit {
+        kind: "member",
+        name: member,
+        is_new: verb == "add",
+        change: json!({"groups": {group: {"members": {member: settings}}}}),
+        reason: format!("member {verb} {group} {member}"),
+    };
+    let is_known = |document: &Document| has_member(document, group, member);
+    edit.submit(target, labels, is_known).await
 }
 
-fn has_member(present: &Present, group: &str, member: &str) -> bool {
-    let group = present.document.groups.get(group);
+fn has_member(document: &Document, group: &str, member: &str) -> bool {
+    let group = document.groups.get(group);
     group.is_some_and(|group| group.members.contains_key(member))
 }
--- a/crates/filbertctl/src/command/route.rs
+++ b/crates/filbertctl/src/command/route.rs
@@ -1,12 +1,11 @@
 //! `filbertctl route`.
 
 use bpaf::Bpaf;
-use filbertbay_state::document::{Access, Durability};
-use filbertbay_state::patch::Change;
+use filbertbay_state::document::{Access, Document, Durability};
 use serde_json::{Value, json};
 
 use crate::exit::Failure;
-use crate::operator::{Labels, Operator, Target, expect_absent, expect_present, labels, target};
+use crate::operator::{Edit, Labels, Operator, Target, labels, target};
 use crate::output;
 
 /// Settings of a route.
@@ -94,21 +93,15 @@
     settings: &Settings,
     name: &str,
 ) -> Result<(), Failure> {
-    let operator = Operator::open(target)?;
-    let present = operator.load().await?;
-    if labels.id.is_none() {
-        let known = present.document.routes.contains_key(name);
-        expect_absent(known, "route", name)?;
-    }
-    let change = Change::Merge(json!({"routes": {name: settings.to_value()}}));
-    operator
-        .change(
-            labels,
-            present.version,
-            change,
-            &format!("route add {name}"),
-        )
-        .await
+    let edit = Edit {
+        kind: "route",
+        name,
+        is_new: true,
+        change: json!({"routes": {name: settings.to_value()}}),
+        reason: format!("route add {name}"),
+    };
+    let is_known = |document: &Document| document.routes.contains_key(name);
+    edit.submit(target, labels, is_known).await
 }
 
 impl Settings {
@@ -124,21 +117,15 @@
 }
 
 async fn remove(target: &Target, labels: &Labels, name: &str) -> Result<(), Failure> {
-    let operator = Operator::open(target)?;
-    let present = operator.load().await?;
-    if labels.id.is_none() {
-        let known = present.document.routes.contains_key(name);
-        expect_present(known, "route", name)?;
-    }
-    let change = Change::Merge(json!({"routes": {name: null}}));
-    operator
-        .change(
-            labels,
-            present.version,
-            change,
-            &format!("route remove {name}"),
-        )
-        .await
+    let edit = Edit {
+        kind: "route",
+        name,
+        is_new: false,
+        change: json!({"routes": {name: null}}),
+        reason: format!("route remove {name}"),
+    };
+    let is_known = |document: &Document| document.routes.contains_key(name);
+    edit.submit(target, labels, is_known).await
 }
 
 async fn list(target: &Target) -> Result<(), Failure> {
--- a/crates/filbertctl/src/command/workspace.rs
+++ b/crates/filbertctl/src/command/workspace.rs
@@ -1,11 +1,11 @@
 //! `filbertctl workspace`.
 
 use bpaf::Bpaf;
-use filbertbay_state::patch::Change;
+use filbertbay_state::document::Document;
 use serde_json::json;
 
 use crate::exit::Failure;
-use crate::operator::{Labels, Operator, Target, expect_absent, expect_present, labels, target};
+use crate::operator::{Edit, Labels, Operator, Target, labels, target};
 use crate::output;
 
 /// What to do with workspaces.
@@ -88,39 +88,27 @@
     name: &str,
     workspace: serde_json::Value,
 ) -> Result<(), Failure> {
-    let operator = Operator::open(target)?;
-    let present = operator.load().await?;
-    if labels.id.is_none() {
-        let known = present.document.workspaces.contains_key(name);
-        expect_absent(known, "workspace", name)?;
-    }
-    let change = Change::Merge(json!({"workspaces": {name: workspace}}));
-    operator
-        .change(
-            labels,
-            present.version,
-            change,
-            &format!("workspace add {name}"),
-        )
-        .await
+    let edit = Edit {
+        kind: "workspace",
+        name,
+        is_new: true,
+        change: json!({"workspaces": {name: workspace}}),
+        reason: format!("workspace add {name}"),
+    };
+    let is_known = |document: &Document| document.workspaces.contains_key(name);
+    edit.submit(target, labels, is_known).await
 }
 
 async fn remove(target: &Target, labels: &Labels, name: &str) -> Result<(), Failure> {
-    let operator = Operator::open(target)?;
-    let present = operator.load().await?;
-    if labels.id.is_none() {
-        let known = present.document.workspaces.contains_key(name);
-        expect_present(known, "workspace", name)?;
-    }
-    let change = Change::Merge(json!({"workspaces": {name: null}}));
-    operator
-        .change(
-            labels,
-            present.version,
-            change,
-            &format!("workspace remove {name}"),
-        )
-        .await
+    let edit = Edit {
+        kind: "workspace",
+        name,
+        is_new: false,
+        change: json!({"workspaces": {name: null}}),
+        reason: format!("workspace remove {name}"),
+    };
+    let is_known = |document: &Document| document.workspaces.contains_key(name);
+    edit.submit(target, labels, is_known).await
 }
 
 async fn list(target: &Target) -> Result<(), Failure> {
--- a/crates/filbertctl/src/operator.rs
+++ b/crates/filbertctl/src/operator.rs
@@ -13,6 +13,7 @@
 use filbertbay_state::version::Version;
 use filbertbay_transport::platform::Client;
 use rand::RngCore;
+use serde_json::Value;
 
 use crate::exit::{Code, Failure};
 use crate::output;
@@ -76,6 +77,51 @@
     pub document: Document,
 }
 
+/// Change of one item of the configuration, such as a route.
+#[derive(Debug)]
+pub struct Edit<'a> {
+    /// Kind of the item, for messages.
+    pub kind: &'static str,
+    /// Name of the item.
+    pub name: &'a str,
+    /// Whether the item must not exist before, rather than exist.
+    pub is_new: bool,
+    /// Merge patch of the whole document.
+    pub change: Value,
+    /// Reason of the patch where the operator gives none.
+    pub reason: String,
+}
+
+impl Edit<'_> {
+    /// Checks that the item exists or not, as it should, and submits the change.
+    ///
+    /// A patch with an id of its own may have been applied before; then only the id decides.
+    pub async fn submit<F>(
+        self,
+        target: &Target,
+        labels: &Labels,
+        is_known: F,
+    ) -> Result<(), Failure>
+    where
+        F: FnOnce(&Document) -> bool,
+    {
+        let operator = Operator::open(target)?;
+        let present = operator.load().await?;
+        if labels.id.is_none() {
+            let expect = if self.is_new {
+                expect_absent
+            } else {
+                expect_present
+            };
+            expect(is_known(&present.document), self.kind, self.name)?;
+        }
+        let change = Change::Merge(self.change);
+        operator
+            .change(labels, present.version, change, &self.reason)
+            .await
+    }
+}
+
 impl Operator {
     /// Opens the configuration of a platform; no call is made.
     pub fn open(target: &Target) -> Result<Self, Failure> {
