--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -11,6 +11,8 @@
 use filbertbay_transport::tls::{Files, Identity};
 use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
 use tarpc::context::Context;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
@@ -150,6 +152,31 @@
         .await;
 }
 
+/// Whatever bytes come in on a link, the server goes on to answer other links.
+#[test]
+fn arbitrary_bytes_disturb_no_other_link() {
+    fn property(streams: Vec<Vec<u8>>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let server = bind(None).await;
+            for bytes in streams {
+                // A frame of a stated length lets the bytes reach the decoder of messages.
+                let length = u32::try_from(bytes.len()).unwrap().to_be_bytes();
+                let mut stream = TcpStream::connect(server.address()).await.unwrap();
+                // The server may end the link before all is written.
+                let _ = stream.write_all(&[&length[..], &bytes[..]].concat()).await;
+                let _ = stream.write_all(&bytes).await;
+            }
+            let pool = Pool::new(None);
+            head(&pool, &server, 1).await.is_ok()
+        })
+    }
+    check::runner(24).quickcheck(property as fn(Vec<Vec<u8>>) -> bool);
+}
+
 #[tokio::test]
 async fn unauthenticated_peer_gets_nothing() {
     let (ours, theirs) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
