--- a/crates/filbertbay/src/caller/startup.rs
+++ b/crates/filbertbay/src/caller/startup.rs
@@ -7,6 +7,7 @@
 use filbertbay_protocol::sql;
 use filbertbay_state::key::Digest;
 use filbertbay_state::snapshot::Snapshot;
+use filbertbay_state::version::Version;
 use filbertbay_transport::endpoint::MEMBER_PARAMETER;
 use filbertbay_transport::stream::Stream;
 use filbertbay_transport::tls;
@@ -377,6 +378,11 @@
     request: &Request,
 ) -> Result<Result<Identity, Refusal>, Failure> {
     let snapshot = shared.policy.snapshot();
+    if snapshot.version() == Version(0) {
+        // Without a configuration a valid key would look like a wrong one.
+        let reason = "the instance has no configuration yet";
+        return Ok(Err(Refusal::not_run(State::Unavailable, reason)));
+    }
     let identity = |key| Identity {
         workspace: request.user.as_str().into(),
         key,
--- a/crates/filbertbay/tests/common/mod.rs
+++ b/crates/filbertbay/tests/common/mod.rs
@@ -74,6 +74,11 @@
         self.changes.send_replace(snapshot);
     }
 
+    /// Acts as control does before it has a configuration.
+    pub fn forget(&self) {
+        self.document.lock().0 = 0;
+    }
+
     /// Withdraws the key of the workspace `shop`.
     pub fn withdraw(&self) {
         self.patch(|document| {
--- a/crates/filbertbay/tests/rights.rs
+++ b/crates/filbertbay/tests/rights.rs
@@ -91,6 +91,14 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_a_configuration_calls_no_key_wrong() {
+    let fixture = spawn(Options::default()).await;
+    fixture.control.forget();
+    let refused = connect(&fixture.config()).await.expect_err("starting");
+    assert_eq!(state(&refused), "57P03");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_that_is_cut_off_refuses_callers_with_a_key() {
     let fixture = spawn(Options::default()).await;
