Say once when a holder of shares has a successor, and name what a reclaim needs

Cause: read through the whole change. Whether a later incarnation is live stood twice in control::share; the function named reaches_majority asked for half, and the comment on proof spoke of two majorities; subscribe_draining had no caller. Ruled out: asking for a strict majority in a reclaim (with two holders the lanes of a dead one would never pass on); half is enough, as a holder proves its tenure by more than half, and any such two sets share an instance. Change: has_successor; reaches_half, which says why; the unused receiver is gone. No behaviour, bound or check is changed. Conclusion: the name says what is required. Left: tests that share their opening lines, and the pairs of out and in in filbertctl.

--- a/crates/filbertbay/src/control/share.rs
+++ b/crates/filbertbay/src/control/share.rs
@@ -143,8 +143,8 @@
 /// Returns the latest moment at which a majority of the data centre's holders, or the platform, was
 /// in contact with this instance.
 ///
-/// Only a mate that reaches a majority as well passes lanes on, so the two majorities share an
-/// instance that knows of both.
+/// Only a mate that reaches half of them passes lanes on, and a majority and a half share an instance
+/// that knows of both.
 fn proof(
     now: Instant,
     own: &Holder,
@@ -249,10 +249,7 @@
     }
 
     fn is_dead(&self, live: &[Holder], one: &Holder) -> bool {
-        let succeeded = live
-            .iter()
-            .any(|other| other.instance == one.instance && other.incarnation > one.incarnation);
-        let wait = if succeeded {
+        let wait = if has_successor(live, one) {
             SUCCEEDED_AFTER
         } else {
             RECLAIM_AFTER
@@ -276,13 +273,13 @@
             None if self.changed.elapsed() < FIRST_RECORD_AFTER => return,
             None => (first(live), Index(0)),
         };
-        let reaches_majority = self.reaches_majority(&record, live);
+        let reaches_half = self.reaches_half(&record, live);
         let next = if index == Index(0) {
             Some(record.clone())
         } else {
             record
                 .reclaimed(live, |one| self.is_dead(live, one))
-                .filter(|_| reaches_majority)
+                .filter(|_| reaches_half)
         };
         match next {
             Some(next) => {
@@ -292,17 +289,16 @@
         }
     }
 
-    fn reaches_majority(&self, record: &Allocation, live: &[Holder]) -> bool {
+    /// Tells whether at least half of the data centre's holders are live.
+    ///
+    /// A holder proves its tenure by more than half of them, so that some instance knows of both.
+    fn reaches_half(&self, record: &Allocation, live: &[Holder]) -> bool {
         let own = &self.parts.published.own().data_centre;
         let mates = record.holders.iter().filter(|one| one.data_centre == *own);
-        let mates: Vec<&Holder> = mates.collect();
+        // A holder with a successor is known to have ended, and takes no part.
+        let mates: Vec<&Holder> = mates.filter(|one| !has_successor(live, one)).collect();
         let reached = mates.iter().filter(|one| live.contains(one)).count();
-        // A holder whose successor is live is known to have ended, and takes no part.
-        let ended = mates.iter().filter(|one| {
-            live.iter()
-                .any(|other| other.instance == one.instance && other.incarnation > one.incarnation)
-        });
-        2 * reached >= mates.len() - ended.count()
+        2 * reached >= mates.len()
     }
 
     /// Gives lanes beyond this instance's part away: stops spending, waits, then names the heirs.
@@ -350,6 +346,12 @@
     }
 }
 
+/// Tells whether a later incarnation of a holder is live.
+fn has_successor(live: &[Holder], one: &Holder) -> bool {
+    live.iter()
+        .any(|other| other.instance == one.instance && other.incarnation > one.incarnation)
+}
+
 fn key(holder: &Holder) -> (Arc<str>, u64) {
     (Arc::clone(&holder.instance), holder.incarnation)
 }
--- a/crates/filbertbay/src/published.rs
+++ b/crates/filbertbay/src/published.rs
@@ -115,11 +115,6 @@
         *self.draining.borrow()
     }
 
-    /// Returns a receiver that wakes when this instance starts to drain.
-    pub fn subscribe_draining(&self) -> watch::Receiver<bool> {
-        self.draining.subscribe()
-    }
-
     /// Lets this instance take no new work from now on.
     pub fn drain(&self) {
         self.draining.send_replace(true);
