--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod authority;
 pub mod contact;
+pub mod freshness;
 pub mod limit;
 pub mod membership;
+pub mod placement;
 pub mod queue;
 pub mod quorum;
 pub mod rendezvous;
@@ -17,4 +19,5 @@
 pub mod session;
 pub mod share;
 pub mod spread;
+pub mod succession;
 pub mod view;
--- /dev/null
+++ b/crates/coordination/src/placement.rs
@@ -0,0 +1,64 @@
+//! Order in which endpoints are tried for a statement.
+//!
+//! The cost of an endpoint is the time after which its answer is likely to come: the way there, the
+//! service time times the work ahead, and a new connection where no idle one fits. An endpoint
+//! that failed its last try, or is cold, comes after those that did not.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Duration;
+//! use filbertbay_coordination::placement::{Offer, order};
+//!
+//! let near = Offer { way: Duration::from_millis(1), ..Offer::default() };
+//! let far = Offer { way: Duration::from_millis(16), ..Offer::default() };
+//! let busy = Offer { latency: Duration::from_millis(40), ..near };
+//! assert_eq!(order(&[far, busy, near]), [2, 0, 1]);
+//! ```
+
+use std::time::Duration;
+
+/// Time that an endpoint needs for a new connection.
+const HANDSHAKE: Duration = Duration::from_millis(12);
+
+/// What a try at an endpoint promises.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Offer {
+    /// Round trip to the endpoint's data centre.
+    pub way: Duration,
+    /// Moving average of the time that its answers take, without the way.
+    pub latency: Duration,
+    /// Statements of this instance that it works on.
+    pub in_flight: usize,
+    /// Statements that it runs at once.
+    pub slots: usize,
+    /// Whether an idle connection of the workspace is at hand.
+    pub is_connected: bool,
+    /// Whether every connection is in use.
+    pub is_full: bool,
+    /// Whether the last try failed.
+    pub is_failing: bool,
+    /// Whether it is about to leave, or was just started and is slow.
+    pub is_leaving: bool,
+}
+
+impl Offer {
+    fn cost(&self) -> (bool, bool, bool, Duration) {
+        let ahead = self.in_flight / self.slots.max(1);
+        let work = self.latency * (1 + u32::try_from(ahead).unwrap_or(u32::MAX));
+        let connect = if self.is_connected {
+            Duration::ZERO
+        } else {
+            self.way + HANDSHAKE
+        };
+        let cost = self.way + work + connect;
+        (self.is_failing, self.is_leaving, self.is_full, cost)
+    }
+}
+
+/// Returns the indices of the offers, the best first.
+pub fn order(offers: &[Offer]) -> Vec<usize> {
+    let mut indices: Vec<usize> = (0..offers.len()).collect();
+    indices.sort_by_key(|index| offers[*index].cost());
+    indices
+}
--- /dev/null
+++ b/crates/coordination/src/succession.rs
@@ -0,0 +1,197 @@
+//! Change of the primary of a service whose members do not vote.
+//!
+//! Whoever changes a primary first writes into the store that the service is [moving](Phase::Moving).
+//! An instance uses a primary only under a permission that rests on its last contact with the store
+//! and lapses [`TENURE`] after it. So before another member is promoted, every instance has either
+//! said that it stopped using the old primary, or is known to run no process, or its permission has
+//! lapsed. The [`Ballot`] tells when that is so; nothing in it rests on the time of day or on
+//! membership being right, only on the list of instances that the store gave after the change and on
+//! those that vanished from it less than a tenure ago.
+//!
+//! # Examples
+//!
+//! ```
+//! use std::time::Instant;
+//! use filbertbay_coordination::succession::{Ballot, TENURE};
+//!
+//! let now = Instant::now();
+//! let mut ballot = Ballot::open(now, ["quimper-1".into(), "nantes-1".into()]);
+//! ballot.consent("quimper-1");
+//! assert!(!ballot.is_complete(now));
+//! assert!(ballot.is_complete(now + TENURE));
+//! ballot.consent("nantes-1");
+//! assert!(ballot.is_complete(now));
+//! ```
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertbay_state::position::Position;
+use serde::{Deserialize, Serialize};
+
+/// Time since the last contact with the store for which an instance may use a primary; longer than
+/// the outages of the store that the users' days hold (4 to 9 s).
+pub const TENURE: Duration = Duration::from_secs(10);
+
+/// Failures in a row after which a primary is suspected.
+const SUSPECT_FAILURES: u32 = 2;
+
+/// Time over which failures must stretch, so that one dropped packet raises no suspicion.
+const SUSPECT_AFTER: Duration = Duration::from_millis(150);
+
+/// Whether a service has a primary.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// The primary is being changed; nobody may use any.
+    Moving,
+    /// The member leads.
+    Leading(Arc<str>),
+}
+
+/// What the store holds of the primary of a service.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Fencing token of the holder that wrote it.
+    pub fence: u64,
+    /// Whether there is a primary.
+    pub phase: Phase,
+    /// Primary before the change, if one was known.
+    pub from: Option<Arc<str>>,
+    /// Instance that wrote the record.
+    pub holder: Arc<str>,
+}
+
+/// Permission to use primaries.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tenure {
+    contact: Option<Instant>,
+    is_listed: bool,
+}
+
+impl Tenure {
+    /// Notes that the state of the store at `at` or later is known.
+    pub fn contact(&mut self, at: Instant) {
+        self.contact = self.contact.max(Some(at));
+    }
+
+    /// Notes whether the store lists this instance, so that a change of primary waits for it.
+    pub fn list(&mut self, is_listed: bool) {
+        self.is_listed = is_listed;
+    }
+
+    /// Tells whether primaries may be used.
+    pub fn holds(&self, now: Instant) -> bool {
+        self.is_listed && self.contact.is_some_and(|at| now < at + TENURE)
+    }
+
+    /// Returns the time since the last contact.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.contact.map(|at| now.saturating_duration_since(at))
+    }
+}
+
+/// Instances whose consent a change of primary needs.
+#[derive(Clone, Debug)]
+pub struct Ballot {
+    missing: BTreeSet<Arc<str>>,
+    lapsed_at: Instant,
+    earliest: Option<Instant>,
+}
+
+impl Ballot {
+    /// Opens a ballot; `moved` is a moment not before the store took the record.
+    pub fn open<I>(moved: Instant, instances: I) -> Self
+    where
+        I: IntoIterator<Item = Arc<str>>,
+    {
+        Self {
+            missing: instances.into_iter().collect(),
+            lapsed_at: moved + TENURE,
+            earliest: None,
+        }
+    }
+
+    /// Holds the change back until `at`, for a holder that may not know of every instance yet.
+    #[must_use]
+    pub fn not_before(mut self, at: Instant) -> Self {
+        self.earliest = Some(at);
+        self
+    }
+
+    /// Notes that an instance stopped using the old primary, or runs no process.
+    pub fn consent(&mut self, instance: &str) {
+        self.missing.remove(instance);
+    }
+
+    /// Tells whether nobody can use the old primary any more.
+    pub fn is_complete(&self, now: Instant) -> bool {
+        let agreed = self.missing.is_empty() && self.earliest.is_none_or(|at| now >= at);
+        agreed || now >= self.lapsed_at
+    }
+
+    /// Returns the instances that have not answered.
+    pub fn missing(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.missing.iter()
+    }
+}
+
+/// Member that may take over.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Identity.
+    pub id: Arc<str>,
+    /// Last position that it received.
+    pub received: Position,
+    /// Whether it is to stay: neither draining nor in a data centre that is taken out.
+    pub is_staying: bool,
+    /// Whether it stands in the data centre of the old primary.
+    pub is_near: bool,
+}
+
+/// Chooses the member that takes over: one that stays, with the furthest log, near the old primary.
+pub fn choose(candidates: &[Candidate]) -> Option<&Candidate> {
+    let rank = |one: &&Candidate| (one.is_staying, one.received, one.is_near);
+    candidates.iter().max_by_key(rank)
+}
+
+/// Signs of life of one endpoint, from the answers that came anyway.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pulse {
+    answered: Option<Instant>,
+    failing_since: Option<Instant>,
+    failures: u32,
+}
+
+impl Pulse {
+    /// Notes an answer.
+    pub fn answered(&mut self, now: Instant) {
+        *self = Self {
+            answered: Some(now),
+            ..Self::default()
+        };
+    }
+
+    /// Notes that a connection was refused or broken, or that no answer came.
+    pub fn failed(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+        self.failures += 1;
+    }
+
+    /// Tells whether the endpoint seems to be gone.
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        let long = |since| now.saturating_duration_since(since) >= SUSPECT_AFTER;
+        self.failures >= SUSPECT_FAILURES && self.failing_since.is_some_and(long)
+    }
+
+    /// Tells whether the last try failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Returns the time since the last answer.
+    pub fn silence(&self, now: Instant) -> Option<Duration> {
+        self.answered.map(|at| now.saturating_duration_since(at))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/log.rs
@@ -0,0 +1,50 @@
+//! Structured log on standard output.
+//!
+//! Records pass through a bounded queue to a writer. A full queue drops records, and the writer
+//! reports how many; a decision never waits for the log.
+
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Logger, o};
+
+/// Records that wait for the writer at most; more are dropped and counted.
+const CHANNEL: usize = 4_096;
+
+/// Format of the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Text for a terminal.
+    Terminal,
+}
+
+/// Returns a logger that writes in the given format.
+///
+/// # Examples
+///
+/// ```
+/// use filbertbay_entry::log::{self, Format};
+///
+/// let logger = log::open(Format::Json, "quimper-1", "quimper");
+/// slog::info!(logger, "started");
+/// ```
+pub fn open(format: Format, instance: &str, data_centre: &str) -> Logger {
+    let drain = match format {
+        Format::Json => asynchronous(slog_json::Json::default(std::io::stdout()).fuse()),
+        Format::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stdout().build();
+            asynchronous(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+    };
+    let values = o!("instance" => instance.to_owned(), "data_centre" => data_centre.to_owned());
+    Logger::root(drain.fuse(), values)
+}
+
+fn asynchronous<D>(drain: D) -> slog_async::Async
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(drain).chan_size(CHANNEL).build()
+}
--- /dev/null
+++ b/crates/entry/src/quota.rs
@@ -0,0 +1,419 @@
+//! Rates of workspaces over all instances: the ledger of shares with its driver.
+//!
+//! The record of holders lies in the store and comes with the view. Messages between instances go
+//! over their links. Nothing here waits for the store: without it the record stays as it is.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertbay_coordination::share::{
+    Admission, Allocation, Config, Envelope, Holder, Ledger, Message,
+};
+use filbertbay_coordination::succession::TENURE;
+use slog::{info, warn};
+use tokio::sync::Notify;
+
+use crate::catalog::{Catalog, Workspace};
+use crate::instance::Instance;
+use crate::settings::Settings;
+use crate::store::{Change, Swap};
+use crate::view::SHARES_KEY;
+
+/// Length of a loan with refill; also the time for which the lanes of a restarted holder rest.
+const LOAN: Duration = Duration::from_secs(1);
+
+/// Time after the start of a later incarnation before lanes of the earlier one pass on; longer than
+/// any loan that may rest on them.
+const SUCCEEDED_AFTER: Duration = Duration::from_millis(1_100);
+
+/// Time after a holder left the list before its lanes pass on; longer than a tenure.
+const RECLAIM_AFTER: Duration = Duration::from_secs(12);
+
+/// Time between two looks at loans.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Time between two looks at the record of holders.
+const RECORD_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Time for which no instance has come before the first record is written, so that a fleet that
+/// starts together shares evenly.
+const FIRST_RECORD_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Time by which each further instance waits for the one before it to write the record.
+const STAGGER: Duration = Duration::from_millis(300);
+
+/// Rates of the workspaces on one instance.
+pub struct Quota {
+    ledger: RefCell<Ledger>,
+    rates: RefCell<BTreeMap<Arc<str>, filbertbay_state::document::Rate>>,
+    /// Messages that arose while those of another instance were handled.
+    posted: RefCell<Vec<Envelope>>,
+    answered: Notify,
+    outgoing: Notify,
+}
+
+impl Quota {
+    /// Creates the rates of an instance that holds no lanes yet.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        let config = Config::default()
+            .lease(LOAN)
+            .fence(TENURE.saturating_sub(LOAN));
+        let name = Arc::clone(&settings.name);
+        let data_centre = Arc::clone(&settings.data_centre);
+        Self {
+            ledger: RefCell::new(Ledger::open(name, data_centre, incarnation, config)),
+            rates: RefCell::default(),
+            posted: RefCell::default(),
+            answered: Notify::new(),
+            outgoing: Notify::new(),
+        }
+    }
+
+    /// Notes proof that this instance still holds its lanes.
+    pub fn prove(&self, at: Instant) {
+        self.ledger.borrow_mut().extend(at);
+    }
+
+    /// Takes a record of holders into use.
+    pub fn adopt(&self, now: Instant, allocation: Option<&Arc<Allocation>>) {
+        if let Some(allocation) = allocation {
+            self.ledger.borrow_mut().adopt(now, Arc::clone(allocation));
+        }
+    }
+
+    /// Takes the rates of a configuration into use.
+    pub fn retune(&self, now: Instant, catalog: Option<&Catalog>) {
+        let Some(catalog) = catalog else {
+            return;
+        };
+        let rates = catalog.workspaces.iter();
+        let rates = rates.map(|(name, workspace)| (Arc::clone(name), workspace.rate));
+        *self.rates.borrow_mut() = rates.collect();
+        self.tick(now);
+    }
+
+    /// Waits until an operation of a workspace may run, at most until `until`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which to come back if the workspace is at its rate.
+    pub async fn admit(
+        &self,
+        instance: &Instance,
+        workspace: &Workspace,
+        until: Instant,
+    ) -> Result<(), Duration> {
+        let name = &workspace.name;
+        let mut first = true;
+        loop {
+            let now = instance.now();
+            let answered = self.answered.notified();
+            let admission = {
+                let mut ledger = self.ledger.borrow_mut();
+                if first {
+                    ledger.take(now, name, workspace.rate, 1)
+                } else {
+                    ledger.resume(now, name, workspace.rate, 1)
+                }
+            };
+            first = false;
+            self.signal();
+            match admission {
+                Admission::Run => return Ok(()),
+                Admission::Refused { retry_after } => return Err(retry_after),
+                Admission::Borrow { wait } if now + wait > until => return Err(wait),
+                Admission::Borrow { wait } => {
+                    // Either end of the wait leads to the next decision.
+                    let _ = tokio::time::timeout(wait, answered).await;
+                }
+            }
+        }
+    }
+
+    /// Handles messages of another instance and returns the answers to it.
+    pub fn receive(&self, now: Instant, from: &Arc<str>, messages: &[Message]) -> Vec<Message> {
+        let mut ledger = self.ledger.borrow_mut();
+        let mut is_answered = false;
+        for message in messages {
+            let rate = self.rates.borrow().get(message.workspace()).copied();
+            is_answered |= ledger.receive(now, from, message, rate);
+        }
+        let (back, rest): (Vec<_>, Vec<_>) =
+            ledger.drain().partition(|envelope| envelope.to == *from);
+        drop(ledger);
+        if is_answered {
+            self.answered.notify_waiters();
+        }
+        self.posted.borrow_mut().extend(rest);
+        self.signal();
+        back.into_iter().map(|envelope| envelope.message).collect()
+    }
+
+    fn signal(&self) {
+        let waits = self.ledger.borrow().has_messages() || !self.posted.borrow().is_empty();
+        if waits {
+            self.outgoing.notify_one();
+        }
+    }
+
+    /// Removes and returns the messages that must be sent.
+    fn drain(&self) -> Vec<Envelope> {
+        let mut envelopes = std::mem::take(&mut *self.posted.borrow_mut());
+        envelopes.extend(self.ledger.borrow_mut().drain());
+        envelopes
+    }
+
+    fn tick(&self, now: Instant) {
+        let rates = self.rates.borrow();
+        let rate_of = |name: &Arc<str>| rates.get(name).copied();
+        self.ledger.borrow_mut().tick(now, rate_of);
+        self.signal();
+    }
+}
+
+/// Spawns the tasks that carry messages and keep the record of holders.
+pub fn spawn(instance: &Rc<Instance>) {
+    tokio::task::spawn_local(send_all(Rc::clone(instance)));
+    tokio::task::spawn_local(tick_all(Rc::clone(instance)));
+    let keeper = Keeper {
+        instance: Rc::clone(instance),
+        live: Vec::new(),
+        changed: instance.now(),
+        absent: BTreeMap::new(),
+    };
+    tokio::task::spawn_local(keeper.run());
+}
+
+async fn tick_all(instance: Rc<Instance>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        if instance.quota.ledger.borrow().active() > 0 {
+            instance.quota.tick(instance.now());
+        }
+    }
+}
+
+async fn send_all(instance: Rc<Instance>) {
+    loop {
+        instance.quota.outgoing.notified().await;
+        let mut by_instance: BTreeMap<Arc<str>, Vec<Message>> = BTreeMap::new();
+        for envelope in instance.quota.drain() {
+            let messages = by_instance.entry(envelope.to).or_default();
+            messages.push(envelope.message);
+        }
+        for (name, messages) in by_instance {
+            tokio::task::spawn_local(send(Rc::clone(&instance), name, messages));
+        }
+    }
+}
+
+async fn send(instance: Rc<Instance>, to: Arc<str>, messages: Vec<Message>) {
+    metrics::counter!("filbertbay_share_messages_total").increment(messages.len() as u64);
+    let address = instance
+        .view
+        .borrow()
+        .peers()
+        .get(&to)
+        .map(|peer| peer.address);
+    // A message to an instance that is gone is lost, as any message may be.
+    let Some(address) = address else {
+        return;
+    };
+    let own = Arc::clone(&instance.settings().name);
+    if let Ok(answers) = instance.peers.share(address, own, messages).await {
+        let rest = instance.quota.receive(instance.now(), &to, &answers);
+        instance
+            .quota
+            .posted
+            .borrow_mut()
+            .extend(rest.into_iter().map(|message| Envelope {
+                to: Arc::clone(&to),
+                message,
+            }));
+        instance.quota.signal();
+    }
+}
+
+/// Keeps the record of holders.
+struct Keeper {
+    instance: Rc<Instance>,
+    /// Live instances at the last look, and when they last changed.
+    live: Vec<Holder>,
+    changed: Instant,
+    absent: BTreeMap<(Arc<str>, u64), Instant>,
+}
+
+impl Keeper {
+    async fn run(mut self) {
+        loop {
+            tokio::time::sleep(RECORD_INTERVAL).await;
+            let now = self.instance.now();
+            let live = self.look(now);
+            let is_known = self.instance.view.borrow().tenure.holds(now);
+            if !is_known || self.instance.is_draining() {
+                continue;
+            }
+            let record = self.instance.view.borrow().shares().cloned();
+            self.note_absent(now, record.as_deref(), &live);
+            match record {
+                None => self.write_first(now, &live).await,
+                Some(record) => self.maintain(now, &record, &live).await,
+            }
+        }
+    }
+
+    /// Returns the live instances in the order of their names.
+    fn look(&mut self, now: Instant) -> Vec<Holder> {
+        let view = self.instance.view.borrow();
+        let live: Vec<Holder> = view
+            .peers()
+            .iter()
+            .map(|(name, peer)| Holder {
+                instance: Arc::clone(name),
+                incarnation: peer.incarnation,
+                data_centre: Arc::clone(&peer.data_centre),
+            })
+            .collect();
+        drop(view);
+        if self.live != live {
+            self.live.clone_from(&live);
+            self.changed = now;
+        }
+        live
+    }
+
+    fn note_absent(&mut self, now: Instant, record: Option<&Allocation>, live: &[Holder]) {
+        let holders = record.map_or(&[][..], |record| &record.holders);
+        let absent = holders.iter().filter(|one| !live.contains(one));
+        let noted = absent.map(|one| {
+            let key = (Arc::clone(&one.instance), one.incarnation);
+            let since = self.absent.get(&key).copied().unwrap_or(now);
+            (key, since)
+        });
+        self.absent = noted.collect();
+    }
+
+    /// Waits for the instances before this one to act, and tells whether they did not.
+    async fn takes_turn(&self, live: &[Holder]) -> bool {
+        let name = &self.instance.settings().name;
+        let before = live.iter().take_while(|one| one.instance != *name).count();
+        let epoch = || self.instance.view.borrow().shares().map(|one| one.epoch);
+        let seen = epoch();
+        tokio::time::sleep(STAGGER * u32::try_from(before).unwrap_or(u32::MAX)).await;
+        epoch() == seen
+    }
+
+    async fn write_first(&self, now: Instant, live: &[Holder]) {
+        let is_settled = now.saturating_duration_since(self.changed) >= FIRST_RECORD_AFTER;
+        if !is_settled || !self.takes_turn(live).await {
+            return;
+        }
+        let instances: Vec<(&str, u64, &str)> = live
+            .iter()
+            .map(|one| {
+                let data_centre = one.data_centre.as_ref();
+                (one.instance.as_ref(), one.incarnation, data_centre)
+            })
+            .collect();
+        self.swap(&Allocation::even(&instances), 0).await;
+    }
+
+    /// Passes lanes of dead holders on, and gives lanes away.
+    async fn maintain(&self, now: Instant, record: &Allocation, live: &[Holder]) {
+        let all_dead = !record.holders.iter().any(|one| live.contains(one));
+        let is_dead = |one: &Holder| self.is_dead(now, one, live, all_dead);
+        if let Some(next) = record.reclaimed(live, is_dead) {
+            if self.takes_turn(live).await {
+                self.swap(&next, self.revision()).await;
+            }
+            return;
+        }
+        let name = Arc::clone(&self.instance.settings().name);
+        let Some(own) = live.iter().find(|one| one.instance == name) else {
+            return;
+        };
+        let slots = record.surplus(own, live);
+        if !slots.is_empty() {
+            self.give(own, &slots, live).await;
+        }
+    }
+
+    fn is_dead(&self, now: Instant, one: &Holder, live: &[Holder], all_dead: bool) -> bool {
+        let key = (Arc::clone(&one.instance), one.incarnation);
+        let Some(since) = self.absent.get(&key) else {
+            return false;
+        };
+        let has_successor = live
+            .iter()
+            .any(|other| other.instance == one.instance && other.incarnation != one.incarnation);
+        // Loans of the dead rest with live holders only; where there are none, nothing is waited for.
+        let wait = match (has_successor, all_dead) {
+            (true, true) => Duration::ZERO,
+            (true, false) => SUCCEEDED_AFTER,
+            (false, _) => RECLAIM_AFTER,
+        };
+        now.saturating_duration_since(*since) >= wait
+    }
+
+    /// Gives lanes away: stops spending them, waits, then names the heirs.
+    async fn give(&self, own: &Holder, slots: &[usize], live: &[Holder]) {
+        let settling = {
+            let mut ledger = self.instance.quota.ledger.borrow_mut();
+            slots.iter().for_each(|slot| ledger.release(*slot));
+            ledger.settling()
+        };
+        tokio::time::sleep(settling).await;
+        let record = self.instance.view.borrow().shares().cloned();
+        let Some(record) = record else {
+            return;
+        };
+        // A swap without an answer may still take effect, so the lanes rest until the record shows
+        // who holds them; an unchanged record gives them back.
+        let next = record.given(own, slots, live);
+        if !self.swap(&next, self.revision()).await {
+            tokio::time::sleep(TENURE).await;
+            let now = self.instance.now();
+            self.instance
+                .quota
+                .adopt(now, self.instance.view.borrow().shares());
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        let view = self.instance.view.borrow();
+        view.item(SHARES_KEY).map_or(0, |item| item.revision)
+    }
+
+    /// Replaces the record, and tells whether the store confirmed it.
+    async fn swap(&self, next: &Allocation, expected: u64) -> bool {
+        let value = match serde_json::to_vec(next) {
+            Ok(value) => Bytes::from(value),
+            Err(error) => {
+                warn!(self.instance.log, "record of shares can't be written"; "error" => %error);
+                return false;
+            }
+        };
+        let change = Change {
+            key: SHARES_KEY,
+            expected: Some(expected),
+            value: Some(value),
+            lease: None,
+        };
+        match self.instance.drivers.store.swap(change).await {
+            Ok(Swap::Done(revision)) => {
+                info!(self.instance.log, "record of shares written"; "epoch" => next.epoch,
+                    "revision" => revision);
+                true
+            }
+            Ok(Swap::Conflict) => false,
+            Err(error) => {
+                warn!(self.instance.log, "record of shares not confirmed"; "error" => %error);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,153 @@
+//! Settings of an entry instance, read from a JSON file.
+//!
+//! # Examples
+//!
+//! ```
+//! use filbertbay_entry::settings::Settings;
+//!
+//! let settings = Settings::parse(r#"{
+//!     "name": "quimper-1",
+//!     "data_centre": "quimper",
+//!     "data_centres": {"quimper": "bretagne"},
+//!     "callers": "127.0.0.1:6432",
+//!     "readiness": "127.0.0.1:6433",
+//!     "readiness_path": "/ready",
+//!     "peers": "127.0.0.1:7432",
+//!     "metrics": "127.0.0.1:9432",
+//!     "seeds": [],
+//!     "store": "127.0.0.1:8500",
+//!     "failover": "127.0.0.1:8501",
+//!     "grace_s": 6,
+//!     "leave_ms": 7000,
+//!     "file_limit": 4200
+//! }"#)?;
+//! assert_eq!(settings.region(), Some("bretagne"));
+//! # Ok::<(), filbertbay_entry::settings::Error>(())
+//! ```
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of one entry instance.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance, unique in the fleet.
+    pub name: Arc<str>,
+    /// Data centre that this instance runs in.
+    pub data_centre: Arc<str>,
+    /// Data centres and the region of each.
+    pub data_centres: BTreeMap<Arc<str>, Arc<str>>,
+    /// Address that callers connect to.
+    pub callers: SocketAddr,
+    /// Address that the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// Path of the readiness answer.
+    pub readiness_path: String,
+    /// Address that other instances call.
+    pub peers: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+    /// Addresses of some instances, asked while the store does not answer at a start.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the key-value store.
+    pub store: SocketAddr,
+    /// Address that takes orders to promote.
+    pub failover: SocketAddr,
+    /// Time between SIGTERM and SIGKILL, in seconds.
+    pub grace_s: u64,
+    /// Time for which an endpoint serves on after it said that it leaves, in milliseconds.
+    pub leave_ms: u64,
+    /// File descriptors that the process may have.
+    pub file_limit: usize,
+}
+
+/// Why settings can't be used.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Error {
+    /// The file can't be read.
+    #[error("settings file {path} can't be read")]
+    Read {
+        /// Path of the file.
+        path: String,
+        /// What the system said.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The text is no valid settings document.
+    #[error("settings are not valid: {0}")]
+    Parse(#[from] serde_json::Error),
+    /// A value does not fit the others.
+    #[error("setting {field:?}: {problem}")]
+    Value {
+        /// Name of the field.
+        field: &'static str,
+        /// What is wrong with it.
+        problem: String,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or its values can't be used.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is no settings document or its values can't be used.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let settings: Self = serde_json::from_str(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        let invalid = |field, problem: String| Err(Error::Value { field, problem });
+        if self.name.is_empty() {
+            return invalid("name", "must not be empty".to_owned());
+        }
+        if !self.data_centres.contains_key(&self.data_centre) {
+            let problem = format!("{:?} is not among data_centres", self.data_centre);
+            return invalid("data_centre", problem);
+        }
+        if !self.readiness_path.starts_with('/') {
+            return invalid("readiness_path", "must start with a slash".to_owned());
+        }
+        if self.grace_s == 0 {
+            return invalid("grace_s", "must be above zero".to_owned());
+        }
+        let listeners = [self.callers, self.readiness, self.peers, self.metrics];
+        for (index, one) in listeners.iter().enumerate() {
+            if listeners[..index].contains(one) {
+                return invalid("metrics", format!("{one} is used by two listeners"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the region of this instance.
+    pub fn region(&self) -> Option<&str> {
+        self.data_centres.get(&self.data_centre).map(AsRef::as_ref)
+    }
+
+    /// Returns the time between SIGTERM and SIGKILL.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs(self.grace_s)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/succession.rs
@@ -0,0 +1,704 @@
+//! Driver of changes of primary.
+//!
+//! An instance that finds a primary leaving, taken out or silent for everyone takes the hold on
+//! promotions, which a lease in the store guards, and then walks through the change: it marks the
+//! service as moving, collects the consent of every instance, demotes the old primary if it
+//! answers, promotes the member with the furthest log and names it in the record. A holder that dies
+//! on the way leaves the service moving; whoever takes the hold next starts over.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filbertbay_coordination::rendezvous;
+use filbertbay_coordination::succession::{Ballot, Candidate, Phase, Record, TENURE, choose};
+use filbertbay_state::position::Position;
+use filbertbay_state::status::Role;
+use futures::future::join_all;
+use slog::{info, warn};
+
+use crate::endpoint::{Endpoint, Request, Status, Verb};
+use crate::instance::Instance;
+use crate::peer::{CallError, Reach};
+use crate::store::{Change, Error, ErrorKind, Item, Lease, Promotion, Swap};
+use crate::view::{HOLDER_KEY, Holder, INSTANCE_PREFIX, LEAD_PREFIX, Peer};
+
+/// Time to live of the hold. The holder keeps it that long after its last change, so that holders
+/// do not take turns.
+const HOLD_TTL: Duration = Duration::from_secs(3);
+
+/// Time between two renewals of the hold during a change.
+const HOLD_RENEWAL: Duration = Duration::from_millis(900);
+
+/// Time by which each further instance waits for the one before it to act.
+const STAGGER: Duration = Duration::from_millis(150);
+
+/// Longest wait of an instance for those before it, in a large fleet.
+const LONGEST_STAGGER: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks while something is wrong.
+const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Time between two looks while all is well, for what no event tells.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a service may be without a known primary before one is promoted.
+const LEADERLESS: Duration = Duration::from_millis(2_500);
+
+/// Longest wait for the status of a member.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for a replica to receive what the old primary had.
+const CATCH_UP: Duration = Duration::from_millis(1_200);
+
+/// Time between two questions to members during a change.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Longest wait for a promoted member to lead.
+const LEAD_WAIT: Duration = Duration::from_secs(3);
+
+/// Age of an answer up to which an endpoint counts as reached.
+const REACHED_AGE: Duration = Duration::from_millis(300);
+
+/// Time for which an instance leaves statements at a former primary to end before it consents.
+const LEAVE_PATIENCE: Duration = Duration::from_millis(450);
+
+/// Why a primary is changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Reason {
+    /// It said that it leaves.
+    Draining,
+    /// Its data centre is taken out.
+    Evacuated,
+    /// Its entry is gone.
+    Gone,
+    /// No instance gets answers of it.
+    Silent,
+    /// A change was begun and not ended.
+    Unfinished,
+    /// No member is known to lead.
+    Leaderless,
+}
+
+impl Reason {
+    /// Tells whether the old primary still works.
+    fn is_planned(self) -> bool {
+        matches!(self, Self::Draining | Self::Evacuated)
+    }
+}
+
+/// Hold on promotions.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    fence: u64,
+    lease: Lease,
+    renewed: Instant,
+}
+
+struct Driver {
+    instance: Rc<Instance>,
+    hold: tokio::sync::Mutex<Option<Hold>>,
+    busy: RefCell<BTreeSet<Arc<str>>>,
+    wrong_since: RefCell<BTreeMap<Arc<str>, Instant>>,
+}
+
+/// Spawns the task that watches the primaries.
+pub fn spawn(instance: &Rc<Instance>) {
+    let driver = Rc::new(Driver {
+        instance: Rc::clone(instance),
+        hold: tokio::sync::Mutex::default(),
+        busy: RefCell::default(),
+        wrong_since: RefCell::default(),
+    });
+    tokio::task::spawn_local(driver.run());
+}
+
+/// Waits until no statement relies on the primary of a service under an older record, and tells
+/// whether that is so.
+pub async fn left(instance: &Rc<Instance>, service: &str, revision: u64) -> bool {
+    let until = instance.now() + LEAVE_PATIENCE;
+    loop {
+        let known = instance.view.borrow().lead_revision(service);
+        if known >= revision && instance.primary_uses(service) == 0 {
+            return true;
+        }
+        if instance.now() >= until {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Tells whether this instance gets answers of an endpoint, and asks it if that is not known.
+pub async fn reach(instance: &Rc<Instance>, id: &str) -> Reach {
+    let endpoint = instance.view.borrow().endpoint(id).cloned();
+    let Some(endpoint) = endpoint else {
+        return Reach::Silent;
+    };
+    let member = instance.pool.member(&endpoint);
+    let pulse = member.pulse();
+    let is_recent = pulse
+        .silence(instance.now())
+        .is_some_and(|silence| silence <= REACHED_AGE);
+    if is_recent && !pulse.is_failing() {
+        return Reach::Answers;
+    }
+    match status(instance, &endpoint).await {
+        Some(_) => Reach::Answers,
+        None => Reach::Silent,
+    }
+}
+
+/// Asks a member for its status.
+async fn status(instance: &Rc<Instance>, endpoint: &Rc<Endpoint>) -> Option<Status> {
+    let request = Request::own(Verb::Status);
+    ask(instance, endpoint, &request).await
+}
+
+/// Sends a question of the instance itself to a member, and reads the status row of its answer.
+async fn ask(
+    instance: &Rc<Instance>,
+    endpoint: &Rc<Endpoint>,
+    request: &Request<'_>,
+) -> Option<Status> {
+    let member = instance.pool.member(endpoint);
+    let workspace = instance.catalog()?.workspaces.keys().next().cloned()?;
+    metrics::counter!("filbertbay_status_questions_total").increment(1);
+    let asking = async {
+        let mut held = instance.pool.acquire_any(&member, &workspace).await.ok()?;
+        let reply = held.run(request).await.ok()?;
+        member.answered(instance.now());
+        let status = instance.drivers.connector.status(&reply);
+        held.release();
+        status
+    };
+    let answer = tokio::time::timeout(STATUS_TIMEOUT, asking).await;
+    if answer.is_err() {
+        member.failed(instance.now());
+    }
+    answer.ok().flatten()
+}
+
+impl Driver {
+    async fn run(self: Rc<Self>) {
+        let mut changed = self.instance.changed.subscribe();
+        loop {
+            let is_calm = self.look();
+            let interval = if is_calm {
+                IDLE_INTERVAL
+            } else {
+                LOOK_INTERVAL
+            };
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = self.instance.suspicion.notified() => {}
+                () = tokio::time::sleep(interval) => {}
+            }
+        }
+    }
+
+    /// Looks at every service, and tells whether all is well.
+    fn look(self: &Rc<Self>) -> bool {
+        let now = self.instance.now();
+        let Some(catalog) = self.instance.catalog() else {
+            return true;
+        };
+        if self.instance.is_draining() || !self.instance.view.borrow().tenure.holds(now) {
+            return true;
+        }
+        let mut is_calm = true;
+        for service in catalog.services.keys() {
+            let Some(reason) = self.trouble(service) else {
+                self.wrong_since.borrow_mut().remove(service);
+                continue;
+            };
+            is_calm = false;
+            let since = *self
+                .wrong_since
+                .borrow_mut()
+                .entry(Arc::clone(service))
+                .or_insert(now);
+            let wait = self.turn(service) + Self::patience(reason);
+            let is_free = !self.busy.borrow().contains(service);
+            if is_free && now.saturating_duration_since(since) >= wait {
+                self.busy.borrow_mut().insert(Arc::clone(service));
+                let (driver, service) = (Rc::clone(self), Arc::clone(service));
+                tokio::task::spawn_local(async move {
+                    driver.attempt(&service, reason).await;
+                    driver.busy.borrow_mut().remove(&service);
+                    driver.instance.suspicion.notify_one();
+                });
+            }
+        }
+        is_calm
+    }
+
+    fn patience(reason: Reason) -> Duration {
+        match reason {
+            Reason::Leaderless => LEADERLESS,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Returns how long this instance leaves a change to others: the holder goes first, the rest
+    /// in an order that differs by service.
+    fn turn(&self, service: &str) -> Duration {
+        let own = Arc::clone(&self.instance.settings().name);
+        let view = self.instance.view.borrow();
+        if view
+            .holder()
+            .is_some_and(|(holder, _)| holder.instance == own)
+        {
+            return Duration::ZERO;
+        }
+        let names: Vec<&str> = view.peers().keys().map(AsRef::as_ref).collect();
+        let order = rendezvous::rank(service, names, |name| name);
+        let place = order.iter().position(|name| *name == own.as_ref());
+        let place = place.unwrap_or(0);
+        let held = usize::from(view.holder().is_some());
+        let steps = u32::try_from(place + held).unwrap_or(u32::MAX);
+        STAGGER.saturating_mul(steps).min(LONGEST_STAGGER)
+    }
+
+    /// Returns what is wrong with the primary of a service.
+    fn trouble(&self, service: &str) -> Option<Reason> {
+        let view = self.instance.view.borrow();
+        if let Some(lead) = view.lead(service)
+            && lead.record.phase == Phase::Moving
+        {
+            return Some(Reason::Unfinished);
+        }
+        if view.endpoints(service).next().is_none() {
+            return None;
+        }
+        let Some(id) = view.primary(service) else {
+            return Some(Reason::Leaderless);
+        };
+        let Some(endpoint) = view.endpoint(&id) else {
+            return Some(Reason::Gone);
+        };
+        let others = view.endpoints(service).filter(|one| one.id != id);
+        let mut others =
+            others.filter(|one| !one.is_draining && !view.is_evacuated(&one.data_centre));
+        let has_heir = others.next().is_some();
+        if view.is_evacuated(&endpoint.data_centre) && has_heir {
+            return Some(Reason::Evacuated);
+        }
+        if endpoint.is_draining && has_heir {
+            return Some(Reason::Draining);
+        }
+        let pulse = self.instance.pool.member(endpoint).pulse();
+        pulse
+            .is_suspect(self.instance.now())
+            .then_some(Reason::Silent)
+    }
+
+    async fn attempt(&self, service: &Arc<str>, reason: Reason) {
+        if reason == Reason::Silent && !self.is_silent_for_all(service).await {
+            return;
+        }
+        let hold = match self.take_hold().await {
+            Ok(Some(hold)) => hold,
+            Ok(None) => return,
+            Err(error) => {
+                info!(self.instance.log, "hold on promotions not taken"; "error" => %error);
+                return;
+            }
+        };
+        // Another instance may have ended the change while the hold was taken.
+        if self.trouble(service).is_none() {
+            return;
+        }
+        info!(self.instance.log, "change of primary begins"; "service" => service.as_ref(),
+            "reason" => %reason, "fence" => hold.fence);
+        let begun = self.instance.now();
+        let outcome = self.change(service, reason, hold).await;
+        let took = self.instance.now().saturating_duration_since(begun);
+        let took = took.as_millis() as u64;
+        match outcome {
+            Ok(primary) => {
+                metrics::counter!("filbertbay_promotions_total").increment(1);
+                info!(self.instance.log, "change of primary ends"; "service" => service.as_ref(),
+                    "primary" => primary.as_ref(), "took_ms" => took, "fence" => hold.fence);
+            }
+            Err(problem) => {
+                warn!(self.instance.log, "change of primary stuck"; "service" => service.as_ref(),
+                    "problem" => problem, "took_ms" => took);
+            }
+        }
+    }
+
+    /// Tells whether no instance gets answers of the primary of a service.
+    async fn is_silent_for_all(&self, service: &str) -> bool {
+        let Some(id) = self.instance.view.borrow().primary(service) else {
+            return true;
+        };
+        let own = Arc::clone(&self.instance.settings().name);
+        let peers = self.instance.view.borrow().peers().clone();
+        let others = peers.iter().filter(|(name, _)| **name != own);
+        let asked =
+            others.map(|(_, peer)| self.instance.peers.reach(peer.address, Arc::clone(&id)));
+        let answers = join_all(asked).await;
+        let reached = answers
+            .iter()
+            .filter(|answer| **answer == Ok(Reach::Answers))
+            .count();
+        let silent = answers
+            .iter()
+            .filter(|answer| **answer == Ok(Reach::Silent))
+            .count();
+        let own_reach = reach(&self.instance, &id).await;
+        info!(self.instance.log, "primary suspected"; "service" => service,
+            "endpoint" => id.as_ref(), "reached_by" => reached, "silent_for" => silent,
+            "unheard" => answers.len() - reached - silent, "own" => ?own_reach);
+        // An instance that hears neither the primary nor most others may be cut off itself.
+        let heard = (silent + 1) * 2 > answers.len();
+        reached == 0 && own_reach == Reach::Silent && heard
+    }
+
+    /// Takes the hold on promotions, or keeps it; none while another instance has it.
+    async fn take_hold(&self) -> Result<Option<Hold>, Error> {
+        let mut slot = self.hold.lock().await;
+        let store = &self.instance.drivers.store;
+        if let Some(hold) = slot.as_mut() {
+            let asked = self.instance.now();
+            match store.renew(hold.lease).await {
+                Ok(()) => {
+                    hold.renewed = asked;
+                    return Ok(Some(*hold));
+                }
+                Err(error) => {
+                    info!(self.instance.log, "hold on promotions lost"; "error" => %error);
+                    *slot = None;
+                }
+            }
+        }
+        if self.instance.view.borrow().holder().is_some() {
+            return Ok(None);
+        }
+        let renewed = self.instance.now();
+        let lease = store.open_lease(HOLD_TTL).await?;
+        let holder = Holder {
+            instance: Arc::clone(&self.instance.settings().name),
+            attempt: self.instance.incarnation,
+        };
+        let change = Change {
+            key: HOLDER_KEY,
+            expected: Some(0),
+            value: Some(encode(&holder)?),
+            lease: Some(lease),
+        };
+        match store.swap(change).await? {
+            Swap::Done(fence) => {
+                info!(self.instance.log, "hold on promotions taken"; "fence" => fence);
+                let hold = Hold {
+                    fence,
+                    lease,
+                    renewed,
+                };
+                *slot = Some(hold);
+                Ok(Some(hold))
+            }
+            Swap::Conflict => Ok(None),
+        }
+    }
+
+    /// Renews the hold if it is due, and tells whether it is certain to last a moment longer.
+    async fn keep_hold(&self) -> bool {
+        let mut slot = self.hold.lock().await;
+        let Some(hold) = slot.as_mut() else {
+            return false;
+        };
+        let now = self.instance.now();
+        if now < hold.renewed + HOLD_RENEWAL {
+            return true;
+        }
+        match self.instance.drivers.store.renew(hold.lease).await {
+            Ok(()) => {
+                hold.renewed = now;
+                true
+            }
+            Err(error) if error.kind() == ErrorKind::Ended => {
+                info!(self.instance.log, "hold on promotions ended"; "error" => %error);
+                *slot = None;
+                false
+            }
+            // The hold lasts for its time to live after the last renewal.
+            Err(_) => now + HOLD_RENEWAL < hold.renewed + HOLD_TTL,
+        }
+    }
+
+    /// Walks through a change, and returns the new primary or what stands in the way.
+    async fn change(
+        &self,
+        service: &Arc<str>,
+        reason: Reason,
+        hold: Hold,
+    ) -> Result<Arc<str>, &'static str> {
+        let from = self.former(service);
+        let record = Record {
+            fence: hold.fence,
+            phase: Phase::Moving,
+            from: from.clone(),
+            holder: Arc::clone(&self.instance.settings().name),
+        };
+        let moving = self.write(service, &record).await?;
+        self.collect(service, &moving).await?;
+        let former = from.as_ref().and_then(|id| {
+            let view = self.instance.view.borrow();
+            view.endpoint(id).cloned()
+        });
+        let last = self.retire(former.as_ref(), reason).await;
+        let next = self.heir(service, former.as_ref(), last).await?;
+        self.promote(service, &next, hold).await?;
+        let record = Record {
+            phase: Phase::Leading(Arc::clone(&next.id)),
+            ..record
+        };
+        self.write(service, &record).await?;
+        Ok(Arc::clone(&next.id))
+    }
+
+    /// Returns the primary that is to be replaced.
+    fn former(&self, service: &str) -> Option<Arc<str>> {
+        let view = self.instance.view.borrow();
+        match view.lead(service).map(|lead| &lead.record) {
+            Some(record) if record.phase == Phase::Moving => record.from.clone(),
+            _ => view.primary(service),
+        }
+    }
+
+    /// Writes the record of a service under the condition that nobody else did.
+    async fn write(&self, service: &Arc<str>, record: &Record) -> Result<Item, &'static str> {
+        let key: Arc<str> = format!("{LEAD_PREFIX}{service}").into();
+        let expected = self.instance.view.borrow().lead_revision(service);
+        let value = encode(record).map_err(|_| "the record can't be encoded")?;
+        if !self.keep_hold().await {
+            return Err("the hold was lost");
+        }
+        let change = Change {
+            key: &key,
+            expected: Some(expected),
+            value: Some(value.clone()),
+            lease: None,
+        };
+        match self.instance.drivers.store.swap(change).await {
+            Ok(Swap::Done(revision)) => {
+                let item = Item {
+                    key,
+                    value: value.to_vec(),
+                    revision,
+                };
+                self.instance.take_item(item.clone());
+                Ok(item)
+            }
+            Ok(Swap::Conflict) => Err("the record was changed by another instance"),
+            Err(error) => {
+                info!(self.instance.log, "record of a primary not confirmed"; "error" => %error);
+                Err("the store did not confirm the record")
+            }
+        }
+    }
+
+    /// Waits until no instance can use the old primary.
+    async fn collect(&self, service: &Arc<str>, moving: &Item) -> Result<(), &'static str> {
+        let moved = self.instance.now();
+        let electorate = self.electorate().await?;
+        let names = electorate.keys().cloned();
+        let known_all = self.instance.clock.started() + TENURE;
+        let mut ballot = Ballot::open(moved, names).not_before(known_all);
+        let own = Arc::clone(&self.instance.settings().name);
+        loop {
+            let missing: Vec<Arc<str>> = ballot.missing().cloned().collect();
+            let asked = missing.iter().map(|name| {
+                let peer = &electorate[name];
+                self.consent(peer, *name == own, service, moving)
+            });
+            let consents = join_all(asked).await;
+            for (name, _) in missing.iter().zip(consents).filter(|(_, given)| *given) {
+                ballot.consent(name);
+            }
+            let now = self.instance.now();
+            if ballot.is_complete(now) {
+                let missing: Vec<&str> = ballot.missing().map(AsRef::as_ref).collect();
+                info!(self.instance.log, "former primary out of use"; "service" => service.as_ref(),
+                    "asked" => electorate.len(), "lapsed" => missing.join(","),
+                    "took_ms" => now.saturating_duration_since(moved).as_millis() as u64);
+                return Ok(());
+            }
+            if !self.keep_hold().await {
+                return Err("the hold was lost while consents were collected");
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
+    /// Returns every instance that may still use a primary.
+    async fn electorate(&self) -> Result<BTreeMap<Arc<str>, Peer>, &'static str> {
+        let listing = self.instance.drivers.store.list(INSTANCE_PREFIX).await;
+        let listing = listing.map_err(|_| "the store did not list the instances")?;
+        let mut all = self.instance.view.borrow().electorate();
+        for item in listing.items {
+            let name = item.key.strip_prefix(INSTANCE_PREFIX);
+            let peer = serde_json::from_slice(&item.value).ok();
+            if let (Some(name), Some(peer)) = (name, peer) {
+                all.insert(name.into(), peer);
+            }
+        }
+        Ok(all)
+    }
+
+    async fn consent(&self, peer: &Peer, is_own: bool, service: &Arc<str>, moving: &Item) -> bool {
+        if is_own {
+            return left(&self.instance, service, moving.revision).await;
+        }
+        let asked = (Arc::clone(service), moving.clone());
+        match self
+            .instance
+            .peers
+            .leave(peer.address, asked.0, asked.1)
+            .await
+        {
+            Ok(given) => given,
+            // A process that starts at the address later reads the record first.
+            Err(CallError::Absent) => true,
+            Err(CallError::Unanswered) => false,
+        }
+    }
+
+    /// Makes the old primary a replica if it answers, and returns its last position.
+    async fn retire(&self, former: Option<&Rc<Endpoint>>, reason: Reason) -> Option<Position> {
+        let endpoint = former?;
+        let known = match status(&self.instance, endpoint).await {
+            Some(status) => status,
+            None if reason.is_planned() => status(&self.instance, endpoint).await?,
+            None => return None,
+        };
+        let request = Request::own(Verb::Demote(known.term.next()));
+        let after = ask(&self.instance, endpoint, &request).await;
+        info!(self.instance.log, "former primary demoted"; "endpoint" => endpoint.id.as_ref(),
+            "term" => known.term.0, "answered" => after.is_some(),
+            "position" => after.map(|status| status.received.to_string()));
+        Some(after.unwrap_or(known).received)
+    }
+
+    /// Returns the member that is to lead, once it has received what the old primary had.
+    async fn heir(
+        &self,
+        service: &str,
+        former: Option<&Rc<Endpoint>>,
+        last: Option<Position>,
+    ) -> Result<Rc<Endpoint>, &'static str> {
+        let until = self.instance.now() + CATCH_UP;
+        loop {
+            let members: Vec<Rc<Endpoint>> = {
+                let view = self.instance.view.borrow();
+                view.endpoints(service).cloned().collect()
+            };
+            let asked = members.iter().map(|one| status(&self.instance, one));
+            let answers = join_all(asked).await;
+            let candidates: Vec<Candidate> = members
+                .iter()
+                .zip(&answers)
+                .filter_map(|(member, status)| Some(self.candidate(member, former, (*status)?)))
+                .collect();
+            let best = choose(&candidates).cloned();
+            let is_level = best
+                .as_ref()
+                .is_some_and(|best| last.is_none_or(|last| best.received >= last));
+            if is_level || self.instance.now() >= until {
+                let best = best.ok_or("no member answers")?;
+                info!(self.instance.log, "heir chosen"; "service" => service,
+                    "endpoint" => best.id.as_ref(), "received" => %best.received,
+                    "former_position" => last.map(|last| last.to_string()),
+                    "candidates" => candidates.len());
+                let found = members.into_iter().find(|member| member.id == best.id);
+                return found.ok_or("the heir left");
+            }
+            if !self.keep_hold().await {
+                return Err("the hold was lost while an heir was sought");
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+
+    fn candidate(
+        &self,
+        member: &Endpoint,
+        former: Option<&Rc<Endpoint>>,
+        status: Status,
+    ) -> Candidate {
+        let view = self.instance.view.borrow();
+        let is_out = view.is_evacuated(&member.data_centre);
+        Candidate {
+            id: Arc::clone(&member.id),
+            received: status.received,
+            is_staying: !member.is_draining && !is_out && !view.is_gone(&member.id),
+            is_near: former.is_some_and(|former| former.data_centre == member.data_centre),
+        }
+    }
+
+    /// Orders the promotion and waits until the member leads.
+    async fn promote(
+        &self,
+        service: &str,
+        next: &Rc<Endpoint>,
+        hold: Hold,
+    ) -> Result<(), &'static str> {
+        if !self.keep_hold().await {
+            return Err("the hold was lost before the promotion");
+        }
+        let holder = Arc::clone(&self.instance.settings().name);
+        let failover = &self.instance.drivers.failover;
+        match failover
+            .promote(service, &next.id, &holder, hold.fence)
+            .await
+        {
+            Ok(Promotion::Accepted) => {}
+            Ok(Promotion::Absent) => return Err("the heir is not running"),
+            Err(error) => {
+                warn!(self.instance.log, "promotion not confirmed"; "error" => %error);
+                return Err("the platform did not confirm the promotion");
+            }
+        }
+        let until = self.instance.now() + LEAD_WAIT;
+        let mut changed = self.instance.changed.subscribe();
+        while self.instance.now() < until {
+            let says_so = {
+                let view = self.instance.view.borrow();
+                let endpoint = view.endpoint(&next.id);
+                endpoint.is_some_and(|endpoint| endpoint.role == Role::Primary)
+            };
+            if says_so {
+                return Ok(());
+            }
+            if !self.keep_hold().await {
+                return Err("the hold was lost before the heir led");
+            }
+            // The member reports its role at once; a question is the second way to hear of it.
+            if tokio::time::timeout(HOLD_RENEWAL, changed.changed())
+                .await
+                .is_err()
+                && status(&self.instance, next)
+                    .await
+                    .is_some_and(|status| status.role == Role::Primary)
+            {
+                return Ok(());
+            }
+        }
+        Err("the heir does not lead")
+    }
+}
+
+fn encode<T>(value: &T) -> Result<Bytes, Error>
+where
+    T: serde::Serialize,
+{
+    let bytes = serde_json::to_vec(value)
+        .map_err(|error| Error::new(ErrorKind::Refused, "swap", error.to_string()))?;
+    Ok(Bytes::from(bytes))
+}
--- /dev/null
+++ b/crates/entry/src/watcher.rs
@@ -0,0 +1,302 @@
+//! Tasks that keep the view of the store fresh and this instance listed in it.
+//!
+//! One long watch sees every change. While the store does not answer, or turns this instance away,
+//! the view comes from another instance, with its age.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use slog::{info, warn};
+
+use crate::instance::Instance;
+use crate::peer::Sight;
+use crate::store::{Change, Changes, Error, ErrorKind, Lease, Listing, Swap};
+use crate::view::{INSTANCE_PREFIX, Peer};
+
+/// Longest wait of one watch. Its answer renews the permission to use primaries, so it is a fifth of
+/// the tenure.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause after a failed call to the store; half of it is random.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time to live of this instance's entry; as long as the permission to use primaries.
+const ENTRY_TTL: Duration = Duration::from_secs(10);
+
+/// Time between two renewals of the entry.
+const RENEWAL: Duration = Duration::from_secs(3);
+
+/// Time between two looks at entries that vanished.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time without an entry after which this instance writes it anew.
+const UNLISTED: Duration = Duration::from_millis(600);
+
+/// Instances that are asked for their view in one round.
+const ASKED: usize = 2;
+
+/// Spawns the tasks.
+pub fn spawn(instance: &Rc<Instance>) {
+    tokio::task::spawn_local(follow(Rc::clone(instance)));
+    tokio::task::spawn_local(register(Rc::clone(instance)));
+    tokio::task::spawn_local(expire(Rc::clone(instance)));
+}
+
+/// Lists the store and then watches it.
+async fn follow(instance: Rc<Instance>) {
+    let mut is_listed = false;
+    loop {
+        let asked = instance.now();
+        let outcome = if is_listed {
+            watch(&instance, asked).await
+        } else {
+            list(&instance, asked).await
+        };
+        match outcome {
+            Ok(listed) => {
+                is_listed = listed;
+                note_store(&instance, None);
+            }
+            Err(error) => {
+                note_store(&instance, Some(&error));
+                pull(&instance).await;
+                tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+            }
+        }
+    }
+}
+
+async fn list(instance: &Rc<Instance>, asked: Instant) -> Result<bool, Error> {
+    let listing = instance.drivers.store.list("").await?;
+    info!(instance.log, "store listed"; "items" => listing.items.len(),
+        "revision" => listing.revision);
+    instance.take_listing(asked, listing);
+    Ok(true)
+}
+
+async fn watch(instance: &Rc<Instance>, asked: Instant) -> Result<bool, Error> {
+    let after = instance.view.borrow().revision();
+    match instance.drivers.store.watch("", after, WATCH_WAIT).await? {
+        Changes::Events(events, revision) => {
+            instance.take_events(asked, events, revision);
+            Ok(true)
+        }
+        Changes::Compacted => {
+            warn!(instance.log, "history of the store dropped"; "after" => after);
+            Ok(false)
+        }
+    }
+}
+
+/// Logs when the store is lost and regained.
+fn note_store(instance: &Instance, error: Option<&Error>) {
+    let was_up = instance.store_up.replace(error.is_none());
+    match error {
+        Some(error) if was_up => {
+            let age = instance.view.borrow().tenure.age(instance.now());
+            warn!(instance.log, "store lost"; "error" => %error,
+                "contact_age_ms" => age.map(|age| age.as_millis() as u64));
+        }
+        Some(error) => slog::debug!(instance.log, "store still away"; "error" => %error),
+        None if !was_up => info!(instance.log, "store reached"),
+        None => {}
+    }
+}
+
+/// Takes the store as another instance sees it.
+async fn pull(instance: &Rc<Instance>) {
+    for address in some_peers(instance) {
+        let asked = instance.now();
+        let seen = instance.view.borrow().revision();
+        let Ok(Some(sight)) = instance.peers.view(address, seen).await else {
+            continue;
+        };
+        take_sight(instance, asked, sight, address);
+        return;
+    }
+}
+
+fn take_sight(instance: &Rc<Instance>, asked: Instant, sight: Sight, from: SocketAddr) {
+    let Some(known_at) = asked.checked_sub(sight.age) else {
+        return;
+    };
+    match sight.items {
+        Some(items) => {
+            info!(instance.log, "view taken from another instance"; "peer" => %from,
+                "revision" => sight.revision, "age_ms" => sight.age.as_millis() as u64);
+            let revision = sight.revision;
+            instance.take_listing(known_at, Listing { items, revision });
+        }
+        None => instance.take_events(known_at, Vec::new(), 0),
+    }
+}
+
+/// Returns some instances to ask, those of the own data centre first; seeds if none is known.
+fn some_peers(instance: &Instance) -> Vec<SocketAddr> {
+    let settings = instance.settings();
+    let view = instance.view.borrow();
+    let others = view
+        .peers()
+        .iter()
+        .filter(|(name, _)| **name != settings.name);
+    let mut others: Vec<&Peer> = others.map(|(_, peer)| peer).collect();
+    others.shuffle(&mut rand::rng());
+    others.sort_by_key(|peer| peer.data_centre != settings.data_centre);
+    let mut addresses: Vec<SocketAddr> = others.iter().map(|peer| peer.address).collect();
+    if addresses.is_empty() {
+        addresses = settings.seeds.clone();
+        addresses.retain(|address| *address != settings.peers);
+        addresses.shuffle(&mut rand::rng());
+    }
+    // The second one stands elsewhere, as a whole data centre may be turned away.
+    if addresses.len() > ASKED {
+        let far = others
+            .iter()
+            .rposition(|peer| peer.data_centre != settings.data_centre);
+        if let Some(far) = far {
+            addresses.swap(1, far);
+        }
+    }
+    addresses.truncate(ASKED);
+    addresses
+}
+
+/// Keeps this instance listed in the store.
+async fn register(instance: Rc<Instance>) {
+    loop {
+        match enter(&instance).await {
+            Ok(Some(lease)) => keep(&instance, lease).await,
+            Ok(None) => {}
+            Err(error) => {
+                info!(instance.log, "entry of this instance not written"; "error" => %error);
+            }
+        }
+        if instance.is_draining() {
+            return;
+        }
+        tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+    }
+}
+
+async fn enter(instance: &Rc<Instance>) -> Result<Option<Lease>, Error> {
+    let store = &instance.drivers.store;
+    let lease = store.open_lease(ENTRY_TTL).await?;
+    let settings = instance.settings();
+    let peer = Peer {
+        address: settings.peers,
+        data_centre: Arc::clone(&settings.data_centre),
+        incarnation: instance.incarnation,
+    };
+    let value = serde_json::to_vec(&peer)
+        .map_err(|error| Error::new(ErrorKind::Refused, "swap", error.to_string()))?;
+    let key = format!("{INSTANCE_PREFIX}{}", settings.name);
+    let change = Change {
+        key: &key,
+        expected: None,
+        value: Some(Bytes::from(value)),
+        lease: Some(lease),
+    };
+    match store.swap(change).await? {
+        Swap::Done(revision) => {
+            info!(instance.log, "entry of this instance written"; "revision" => revision);
+            Ok(Some(lease))
+        }
+        Swap::Conflict => Ok(None),
+    }
+}
+
+/// Renews the entry until it has ended or the instance ends.
+async fn keep(instance: &Rc<Instance>, lease: Lease) {
+    let mut phase = instance.phase.subscribe();
+    let mut unlisted_since: Option<Instant> = None;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(RENEWAL) => {}
+            () = unlisted(instance, &mut unlisted_since) => {
+                warn!(instance.log, "entry of this instance vanished");
+                return;
+            }
+            _ = phase.wait_for(|phase| *phase != crate::instance::Phase::Serving) => return,
+        }
+        let renewed = instance.drivers.store.renew(lease).await;
+        match renewed {
+            Ok(()) => {}
+            Err(error) if error.kind() == ErrorKind::Ended => {
+                warn!(instance.log, "lease of this instance has ended");
+                return;
+            }
+            Err(error) => {
+                info!(instance.log, "lease of this instance not renewed"; "error" => %error);
+                for address in some_peers(instance) {
+                    if instance.peers.vouch(address, lease).await == Ok(true) {
+                        break;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Waits until the store has not listed this instance for a while.
+async fn unlisted(instance: &Instance, since: &mut Option<Instant>) {
+    loop {
+        let now = instance.now();
+        let name = Arc::clone(&instance.settings().name);
+        let is_listed = {
+            let view = instance.view.borrow();
+            let own = view.peers().get(&name);
+            own.is_some_and(|peer| peer.incarnation == instance.incarnation)
+        };
+        if is_listed || !instance.store_up.get() {
+            *since = None;
+        } else if now.saturating_duration_since(*since.get_or_insert(now)) >= UNLISTED {
+            return;
+        }
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+    }
+}
+
+/// Removes the entry of this instance, so that others need not wait for its lease.
+pub async fn withdraw(instance: &Rc<Instance>) {
+    let key = format!("{INSTANCE_PREFIX}{}", instance.settings().name);
+    let revision = {
+        let view = instance.view.borrow();
+        view.item(&key).map(|item| item.revision)
+    };
+    let change = Change {
+        key: &key,
+        expected: revision,
+        value: None,
+        lease: None,
+    };
+    if let Err(error) = instance.drivers.store.swap(change).await {
+        info!(instance.log, "entry of this instance not removed"; "error" => %error);
+    }
+}
+
+/// Forgets endpoints whose entries stayed away.
+async fn expire(instance: Rc<Instance>) {
+    loop {
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        let now = instance.now();
+        let is_connected = instance.store_up.get();
+        let gone = instance.view.borrow_mut().expire(now, is_connected);
+        for id in &gone {
+            info!(instance.log, "endpoint is gone"; "endpoint" => id.as_ref());
+            instance.pool.forget(id);
+        }
+        if !gone.is_empty() {
+            instance.changed.send_modify(|count| *count += 1);
+        }
+    }
+}
+
+/// Returns a time between half of `time` and all of it.
+fn jittered(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.5..1.0))
+}
--- a/crates/filbertbay/src/main.rs
+++ b/crates/filbertbay/src/main.rs
@@ -1,10 +1,12 @@
 //! Daemon of a filbertbay entry instance.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 use bpaf::Bpaf;
 use filbertbay::settings::Settings;
 use filbertbay::{daemon, log};
+use filbertbay_entry::log::Format;
 use miette::{IntoDiagnostic, Result};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -19,6 +21,15 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Runs an entry instance on the users' platform until SIGTERM.
+    #[bpaf(command)]
+    Entry {
+        /// Only checks the settings, and ends with 0 if they can be used
+        check: bool,
+        /// File with the settings, in JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Checks a settings file and ends with 0 if it can be used.
     #[bpaf(command)]
     Check {
@@ -30,6 +41,7 @@
 
 fn main() -> Result<()> {
     match command().run() {
+        Command::Entry { check, settings } => entry(&settings, check),
         Command::Run { settings } => run(Settings::read(&settings)?),
         Command::Check { settings } => {
             Settings::read(&settings)?;
@@ -39,6 +51,26 @@
     }
 }
 
+/// Runs an entry instance on one thread, as its machine has a fraction of a core.
+fn entry(path: &Path, check: bool) -> Result<()> {
+    let settings = filbertbay_entry::settings::Settings::read(path)?;
+    if check {
+        println!("{}: settings can be used", path.display());
+        return Ok(());
+    }
+    let log = filbertbay_entry::log::open(Format::Json, &settings.name, &settings.data_centre);
+    let drivers = filbertbay_platform::drivers(&settings).into_diagnostic()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let sessions = Rc::new(filbertbay_platform::caller::Sessions);
+    let running = filbertbay_entry::daemon::run(settings, path.to_owned(), drivers, sessions, log);
+    tokio::task::LocalSet::new()
+        .block_on(&runtime, running)
+        .into_diagnostic()
+}
+
 fn run(settings: Settings) -> Result<()> {
     let mut builder = tokio::runtime::Builder::new_multi_thread();
     if settings.traffic_threads > 0 {
