Do not queue calls behind an instance that is gone

Each call to a removed instance took the link's lock and waited 300 ms for a connection, so calls queued one after the other, the pull of the view among them; the holder of promotions lost its hold in the same queue, and a service stayed without a primary for 9 s. Change: one attempt to connect in 250 ms, a limit over the whole call, views pulled side by side; a start waits up to 1.5 s for its configuration instead of refusing; reads stay at a member for half an objective. Ruled out: the store's limits (no 429 was seen), the watch itself (it was never sent).

--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -8,7 +8,7 @@
 //! | `reach` | whether another instance gets answers of an endpoint |
 //! | `share` | messages of the ledgers of shares |
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +38,9 @@
 /// Longest wait for a link, over three round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after a failed attempt to connect in which no other is made.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+
 /// Longest wait for an answer about shares.
 const SHARE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -176,12 +179,46 @@
     Unanswered,
 }
 
-type Slot = Rc<tokio::sync::Mutex<Option<PeerClient>>>;
+/// Link to one instance.
+#[derive(Default)]
+struct Link {
+    client: RefCell<Option<PeerClient>>,
+    /// Lets one caller connect while the others wait for it.
+    connecting: tokio::sync::Mutex<()>,
+    failed: Cell<Option<Instant>>,
+}
+
+impl Link {
+    /// Returns the client, after connecting if need be.
+    async fn client(&self, to: SocketAddr) -> Result<PeerClient, CallError> {
+        if let Some(client) = self.client.borrow().as_ref() {
+            return Ok(client.clone());
+        }
+        let _turn = self.connecting.lock().await;
+        if let Some(client) = self.client.borrow().as_ref() {
+            return Ok(client.clone());
+        }
+        // Callers that queued behind a failed attempt must not repeat it one after the other.
+        if self.failed.get().is_some_and(|at| at.elapsed() < FAILED_PAUSE) {
+            return Err(CallError::Unanswered);
+        }
+        match connect(to).await {
+            Ok(client) => {
+                *self.client.borrow_mut() = Some(client.clone());
+                Ok(client)
+            }
+            Err(error) => {
+                self.failed.set(Some(Instant::now()));
+                Err(error)
+            }
+        }
+    }
+}
 
 /// Links to other instances, opened on first use and after each failure.
 #[derive(Default)]
 pub struct Peers {
-    links: RefCell<BTreeMap<SocketAddr, Slot>>,
+    links: RefCell<BTreeMap<SocketAddr, Rc<Link>>>,
 }
 
 impl Peers {
@@ -261,24 +298,17 @@
     {
         let mut context = context::current();
         context.deadline = Instant::now() + timeout;
-        let slot = Rc::clone(self.links.borrow_mut().entry(to).or_default());
-        let client = {
-            // Holding the slot lets one caller connect while the others wait for it.
-            let mut held = slot.lock().await;
-            if held.is_none() {
-                *held = Some(connect(to).await?);
-            }
-            held.clone().ok_or(CallError::Unanswered)?
-        };
-        let answer = tokio::time::timeout(timeout, call(client, context)).await;
-        match answer {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(_)) | Err(_) => {
-                // A link that stayed silent once may stay so; the next call opens another.
-                *slot.lock().await = None;
-                Err(CallError::Unanswered)
-            }
+        let link = Rc::clone(self.links.borrow_mut().entry(to).or_default());
+        let answer = tokio::time::timeout(timeout, async {
+            let client = link.client(to).await?;
+            call(client, context).await.map_err(|_| CallError::Unanswered)
+        });
+        let answer = answer.await.unwrap_or(Err(CallError::Unanswered));
+        if answer.is_err() {
+            // A link that stayed silent once may stay so; the next call opens another.
+            *link.client.borrow_mut() = None;
         }
+        answer
     }
 }
 
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -44,7 +44,10 @@
 const FIRST_RECORD_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Time by which each further instance waits for the one before it to write the record.
-const STAGGER: Duration = Duration::from_millis(300);
+const STAGGER: Duration = Duration::from_millis(100);
+
+/// Time between two looks at the record while this instance holds no lanes.
+const LANELESS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Rates of the workspaces on one instance.
 pub struct Quota {
@@ -250,7 +253,7 @@
 impl Keeper {
     async fn run(mut self) {
         loop {
-            tokio::time::sleep(RECORD_INTERVAL).await;
+            tokio::time::sleep(self.interval()).await;
             let now = self.instance.now();
             let live = self.look(now);
             let is_known = self.instance.view.borrow().tenure.holds(now);
@@ -266,6 +269,19 @@
         }
     }
 
+    fn interval(&self) -> Duration {
+        let name = Arc::clone(&self.instance.settings().name);
+        let view = self.instance.view.borrow();
+        let holds = view
+            .shares()
+            .is_some_and(|record| record.held(&name, self.instance.incarnation) > 0);
+        if holds || view.shares().is_none() {
+            RECORD_INTERVAL
+        } else {
+            LANELESS_INTERVAL
+        }
+    }
+
     /// Returns the live instances in the order of their names.
     fn look(&mut self, now: Instant) -> Vec<Holder> {
         let view = self.instance.view.borrow();
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -25,9 +25,12 @@
 /// Part of a route's objective for which a statement waits that has not been offered to an endpoint.
 const PATIENCE_DIVISOR: u32 = 4;
 
-/// Time to wait for a configuration and the first words of a caller.
+/// Longest wait for the first words of a caller.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest wait for the first configuration; callers give up on a session after 2 s.
+const CATALOG_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Time after SIGTERM until idle sessions are closed; the balancer has then taken the instance out.
 const IDLE_CLOSE_AFTER: Duration = Duration::from_millis(2_600);
 
@@ -117,7 +120,7 @@
         Ok(hello) => hello,
         Err(refusal) => return Ok(Err(refusal)),
     };
-    let Some(catalog) = instance.catalog() else {
+    let Some(catalog) = first_catalog(instance).await else {
         let refusal = Refusal::new(Code::Busy, "no configuration yet, retry after 500 ms");
         return Ok(Err(refusal));
     };
@@ -130,6 +133,15 @@
     }
 }
 
+/// Returns the configuration, for which a process that has just started waits a little.
+async fn first_catalog(instance: &Rc<Instance>) -> Option<Rc<Catalog>> {
+    let mut changed = instance.changed.subscribe();
+    let waiting = changed.wait_for(|_| instance.catalog().is_some());
+    // After the wait the catalog itself tells how it ended.
+    let _ = tokio::time::timeout(CATALOG_TIMEOUT, waiting).await;
+    instance.catalog()
+}
+
 fn look_up(catalog: &Catalog, hello: &Hello) -> Result<(Arc<Route>, Arc<Workspace>), Refusal> {
     let route = catalog.routes.get(&hello.database).ok_or_else(|| {
         let text = format!(
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -23,12 +23,18 @@
 /// Pause between two rounds over the members.
 const ROUND_PAUSE: Duration = Duration::from_millis(12);
 
+/// Time after the start of the process in which its first look at the store is waited for.
+const START_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Part of a route's timeout within which a statement waits for a primary that is being changed.
 const MOVE_PATIENCE: f64 = 0.8;
 
-/// Shortest wait for an answer before a read goes to another member; twice the longest service time
-/// of the users' reads that have an objective below a second.
-const SHORTEST_TRY: Duration = Duration::from_millis(220);
+/// Part of a route's objective for which a read waits at one member, at least, before it goes to
+/// another; long statements and a full queue stay below it.
+const TRY_DIVISOR: u32 = 2;
+
+/// Time that must be left for another try to make sense.
+const LEAST_TRY: Duration = Duration::from_millis(50);
 
 /// Usual times of an answer after which a read goes to another member.
 const TRY_FACTOR: u32 = 5;
@@ -169,7 +175,7 @@
                     was_offered = true;
                     last = Code::Timeout;
                     tried.push(id);
-                    if self.instance.now() + SHORTEST_TRY / 4 >= until {
+                    if self.instance.now() + LEAST_TRY >= until {
                         return Err(Refusal::new(Code::Timeout, "no endpoint answered in time"));
                     }
                 }
@@ -226,7 +232,10 @@
     fn is_moving(&self, access: Access, begins: Option<bool>) -> bool {
         self.needs_primary(access, begins) && {
             let view = self.instance.view.borrow();
-            view.tenure.holds(self.instance.now()) && view.primary(&self.route.service).is_none()
+            let is_starting = self.instance.clock.uptime() < START_PATIENCE;
+            is_starting
+                || view.tenure.holds(self.instance.now())
+                    && view.primary(&self.route.service).is_none()
         }
     }
 
@@ -242,7 +251,8 @@
             return until;
         }
         let usual = self.instance.answer_time(&target.member, now);
-        until.min(now + (usual * TRY_FACTOR).max(SHORTEST_TRY))
+        let least = self.route.objective / TRY_DIVISOR;
+        until.min(now + (usual * TRY_FACTOR).max(least))
     }
 
     /// Returns the members that the statement may run on, the best first.
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::future::join_all;
 use rand::Rng;
 use rand::seq::SliceRandom;
 use slog::{info, warn};
@@ -108,16 +109,17 @@
     }
 }
 
-/// Takes the store as another instance sees it.
+/// Takes the store as other instances see it.
 async fn pull(instance: &Rc<Instance>) {
-    for address in some_peers(instance) {
-        let asked = instance.now();
-        let seen = instance.view.borrow().revision();
-        let Ok(Some(sight)) = instance.peers.view(address, seen).await else {
-            continue;
-        };
-        take_sight(instance, asked, sight, address);
-        return;
+    let asked = instance.now();
+    let seen = instance.view.borrow().revision();
+    let peers = some_peers(instance);
+    let answers = peers.iter().map(|peer| instance.peers.view(*peer, seen));
+    let answers = join_all(answers).await;
+    for (peer, answer) in peers.iter().zip(answers) {
+        if let Ok(Some(sight)) = answer {
+            take_sight(instance, asked, sight, *peer);
+        }
     }
 }
 
