Let a lone instance keep primaries for 4 s, and longer by the word of the others

Change: without the store an instance uses primaries for 4 s by itself, and up to 10 s while at least half of the others say that they know of no newer record; a ballot that misses a quarter at most waits 4 s. An empty watch proves the state at the end of its wait. Loans of shares last 0.5 s, so that the lanes of a restarted instance pass on sooner. Ruled out: a shorter tenure for all (a store away for 4.5 s would stop every primary); trusting a refused connection of the primary instead of consents (it may restart before the promotion).

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -1,12 +1,18 @@
 //! Change of the primary of a service whose members do not vote.
 //!
 //! Whoever changes a primary first writes into the store that the service is [moving](Phase::Moving).
-//! An instance uses a primary only under a permission that rests on its last contact with the store
-//! and lapses [`TENURE`] after it. So before another member is promoted, every instance has either
-//! said that it stopped using the old primary, or is known to run no process, or its permission has
-//! lapsed. The [`Ballot`] tells when that is so; nothing in it rests on the time of day or on
-//! membership being right, only on the list of instances that the store gave after the change and on
-//! those that vanished from it less than a tenure ago.
+//! An instance uses a primary only under a [`Tenure`], which rests on its last contact with the store
+//! and lapses [`SOLITARY`] after it. While the store is away, the tenure goes on for as long as half of
+//! the other instances have said in the last moments that they know of no newer record, and for
+//! [`TENURE`] at most.
+//!
+//! So before another member is promoted, every instance has either said that it stopped using the old
+//! primary, or is known to run no process, or its tenure has lapsed. The [`Ballot`] tells when that is
+//! so. As long as no more than a quarter of the instances are missing, half of the others can't have
+//! answered a missing one without knowing of the change, and [`SOLITARY`] is enough; else it takes
+//! [`TENURE`]. Nothing rests on the time of day or on membership being right, only on the list of
+//! instances that the store gave after the change and on those that vanished from it less than a
+//! tenure ago.
 //!
 //! # Examples
 //!
@@ -30,10 +36,21 @@
 use filbertbay_state::position::Position;
 use serde::{Deserialize, Serialize};
 
-/// Time since the last contact with the store for which an instance may use a primary; longer than
-/// the outages of the store that the users' days hold (4 to 9 s).
+/// Longest time since the last contact with the store for which an instance may use a primary; longer
+/// than the outages of the store that the users' days hold (4 to 9 s).
 pub const TENURE: Duration = Duration::from_secs(10);
 
+/// Time since the last contact with the store for which an instance that reaches no others may use a
+/// primary; longer than the 3 s between two answers of a watch at most.
+pub const SOLITARY: Duration = Duration::from_secs(4);
+
+/// Time for which the word of the other instances extends a tenure; twice the time between two
+/// rounds of questions while the store is away.
+const WITNESSED: Duration = Duration::from_secs(2);
+
+/// Part of the instances that may be missing for a change to be made after [`SOLITARY`].
+const MISSING_DIVISOR: usize = 4;
+
 /// Failures in a row after which a primary is suspected.
 const SUSPECT_FAILURES: u32 = 2;
 
@@ -67,6 +84,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tenure {
     contact: Option<Instant>,
+    witnessed: Option<Instant>,
     is_listed: bool,
 }
 
@@ -76,6 +94,12 @@
         self.contact = self.contact.max(Some(at));
     }
 
+    /// Notes that at `at` or later at least half of the other instances knew of no newer record than
+    /// this one knows now.
+    pub fn witness(&mut self, at: Instant) {
+        self.witnessed = self.witnessed.max(Some(at));
+    }
+
     /// Notes whether the store lists this instance, so that a change of primary waits for it.
     pub fn list(&mut self, is_listed: bool) {
         self.is_listed = is_listed;
@@ -83,7 +107,11 @@
 
     /// Tells whether primaries may be used.
     pub fn holds(&self, now: Instant) -> bool {
-        self.is_listed && self.contact.is_some_and(|at| now < at + TENURE)
+        let Some(contact) = self.contact.filter(|_| self.is_listed) else {
+            return false;
+        };
+        let is_witnessed = self.witnessed.is_some_and(|at| now < at + WITNESSED);
+        now < contact + SOLITARY || (is_witnessed && now < contact + TENURE)
     }
 
     /// Returns the time since the last contact.
@@ -96,7 +124,8 @@
 #[derive(Clone, Debug)]
 pub struct Ballot {
     missing: BTreeSet<Arc<str>>,
-    lapsed_at: Instant,
+    asked: usize,
+    moved: Instant,
     earliest: Option<Instant>,
 }
 
@@ -106,9 +135,11 @@
     where
         I: IntoIterator<Item = Arc<str>>,
     {
+        let missing: BTreeSet<Arc<str>> = instances.into_iter().collect();
         Self {
-            missing: instances.into_iter().collect(),
-            lapsed_at: moved + TENURE,
+            asked: missing.len(),
+            missing,
+            moved,
             earliest: None,
         }
     }
@@ -127,8 +158,13 @@
 
     /// Tells whether nobody can use the old primary any more.
     pub fn is_complete(&self, now: Instant) -> bool {
-        let agreed = self.missing.is_empty() && self.earliest.is_none_or(|at| now >= at);
-        agreed || now >= self.lapsed_at
+        if now >= self.moved + TENURE {
+            return true;
+        }
+        let is_early = self.earliest.is_some_and(|at| now < at);
+        let few = self.missing.len() * MISSING_DIVISOR <= self.asked;
+        let lapsed = few && now >= self.moved + SOLITARY;
+        !is_early && (self.missing.is_empty() || lapsed)
     }
 
     /// Returns the instances that have not answered.
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -96,7 +96,7 @@
         let view = self.0.view.borrow();
         let age = view.tenure.age(self.0.now())?;
         let revision = view.revision();
-        let items = (revision > seen).then(|| view.listing().items);
+        let items = (view.newest() > seen).then(|| view.listing().items);
         Some(Sight {
             items,
             revision,
@@ -199,7 +199,11 @@
             return Ok(client.clone());
         }
         // Callers that queued behind a failed attempt must not repeat it one after the other.
-        if self.failed.get().is_some_and(|at| at.elapsed() < FAILED_PAUSE) {
+        if self
+            .failed
+            .get()
+            .is_some_and(|at| at.elapsed() < FAILED_PAUSE)
+        {
             return Err(CallError::Unanswered);
         }
         match connect(to).await {
@@ -301,7 +305,9 @@
         let link = Rc::clone(self.links.borrow_mut().entry(to).or_default());
         let answer = tokio::time::timeout(timeout, async {
             let client = link.client(to).await?;
-            call(client, context).await.map_err(|_| CallError::Unanswered)
+            call(client, context)
+                .await
+                .map_err(|_| CallError::Unanswered)
         });
         let answer = answer.await.unwrap_or(Err(CallError::Unanswered));
         if answer.is_err() {
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -24,11 +24,11 @@
 use crate::view::SHARES_KEY;
 
 /// Length of a loan with refill; also the time for which the lanes of a restarted holder rest.
-const LOAN: Duration = Duration::from_secs(1);
+const LOAN: Duration = Duration::from_millis(500);
 
 /// Time after the start of a later incarnation before lanes of the earlier one pass on; longer than
 /// any loan that may rest on them.
-const SUCCEEDED_AFTER: Duration = Duration::from_millis(1_100);
+const SUCCEEDED_AFTER: Duration = Duration::from_millis(560);
 
 /// Time after a holder left the list before its lanes pass on; longer than a tenure.
 const RECLAIM_AFTER: Duration = Duration::from_secs(12);
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use filbertbay_coordination::rendezvous;
-use filbertbay_coordination::succession::{Ballot, Candidate, Phase, Record, TENURE, choose};
+use filbertbay_coordination::succession::{Ballot, Candidate, Phase, Record, SOLITARY, choose};
 use filbertbay_state::position::Position;
 use filbertbay_state::status::Role;
 use futures::future::join_all;
@@ -509,7 +509,7 @@
         let moved = self.instance.now();
         let electorate = self.electorate().await?;
         let names = electorate.keys().cloned();
-        let known_all = self.instance.clock.started() + TENURE;
+        let known_all = self.instance.clock.started() + SOLITARY;
         let mut ballot = Ballot::open(moved, names).not_before(known_all);
         let own = Arc::clone(&self.instance.settings().name);
         loop {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -325,6 +325,13 @@
         self.revision
     }
 
+    /// Returns the revision of the newest item, which another instance may have passed on before the
+    /// store did.
+    pub fn newest(&self) -> u64 {
+        let items = self.items.values().map(|item| item.revision).max();
+        self.revision.max(items.unwrap_or_default())
+    }
+
     /// Returns all items, for an instance that the store turns away.
     pub fn listing(&self) -> Listing {
         Listing {
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -19,9 +19,15 @@
 use crate::store::{Change, Changes, Error, ErrorKind, Lease, Listing, Swap};
 use crate::view::{INSTANCE_PREFIX, Peer};
 
-/// Longest wait of one watch. Its answer renews the permission to use primaries, so it is a fifth of
-/// the tenure.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of one watch. Its answer renews the tenure of an instance by itself, which is over
+/// twice as long.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Longest wait of a watch while the store was away the last time.
+const PROBE_WAIT: Duration = Duration::from_millis(200);
+
+/// Time by which the store may end a watch too early by its own clock.
+const WATCH_SLACK: Duration = Duration::from_millis(50);
 
 /// Pause after a failed call to the store; half of it is random.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -38,8 +44,8 @@
 /// Time without an entry after which this instance writes it anew.
 const UNLISTED: Duration = Duration::from_millis(600);
 
-/// Instances that are asked for their view in one round.
-const ASKED: usize = 2;
+/// Instances that are asked for their view before all others.
+const FIRST_ASKED: usize = 2;
 
 /// Spawns the tasks.
 pub fn spawn(instance: &Rc<Instance>) {
@@ -82,9 +88,21 @@
 
 async fn watch(instance: &Rc<Instance>, asked: Instant) -> Result<bool, Error> {
     let after = instance.view.borrow().revision();
-    match instance.drivers.store.watch("", after, WATCH_WAIT).await? {
+    let wait = if instance.store_up.get() {
+        WATCH_WAIT
+    } else {
+        PROBE_WAIT
+    };
+    match instance.drivers.store.watch("", after, wait).await? {
         Changes::Events(events, revision) => {
-            instance.take_events(asked, events, revision);
+            // An answer without events was given at the end of the wait.
+            let waited = instance.now() >= asked + wait && events.is_empty();
+            let stated = if waited {
+                asked + wait.saturating_sub(WATCH_SLACK)
+            } else {
+                asked
+            };
+            instance.take_events(stated, events, revision);
             Ok(true)
         }
         Changes::Compacted => {
@@ -109,18 +127,32 @@
     }
 }
 
-/// Takes the store as other instances see it.
+/// Takes the store as other instances see it, and notes when enough of them know nothing newer.
 async fn pull(instance: &Rc<Instance>) {
     let asked = instance.now();
-    let seen = instance.view.borrow().revision();
     let peers = some_peers(instance);
+    // The first ones may bring a newer view, which the others then need not send again.
+    let (first, rest) = peers.split_at(FIRST_ASKED.min(peers.len()));
+    let answered = ask_all(instance, first).await + ask_all(instance, rest).await;
+    if !peers.is_empty() && answered * 2 >= peers.len() {
+        instance.view.borrow_mut().tenure.witness(asked);
+    }
+}
+
+/// Asks instances for their view and returns how many answered.
+async fn ask_all(instance: &Rc<Instance>, peers: &[SocketAddr]) -> usize {
+    let asked = instance.now();
+    let seen = instance.view.borrow().newest();
     let answers = peers.iter().map(|peer| instance.peers.view(*peer, seen));
     let answers = join_all(answers).await;
+    let mut answered = 0;
     for (peer, answer) in peers.iter().zip(answers) {
         if let Ok(Some(sight)) = answer {
+            answered += 1;
             take_sight(instance, asked, sight, *peer);
         }
     }
+    answered
 }
 
 fn take_sight(instance: &Rc<Instance>, asked: Instant, sight: Sight, from: SocketAddr) {
@@ -138,7 +170,7 @@
     }
 }
 
-/// Returns some instances to ask, those of the own data centre first; seeds if none is known.
+/// Returns the other instances, those of the own data centre first; seeds if none is known.
 fn some_peers(instance: &Instance) -> Vec<SocketAddr> {
     let settings = instance.settings();
     let view = instance.view.borrow();
@@ -155,16 +187,6 @@
         addresses.retain(|address| *address != settings.peers);
         addresses.shuffle(&mut rand::rng());
     }
-    // The second one stands elsewhere, as a whole data centre may be turned away.
-    if addresses.len() > ASKED {
-        let far = others
-            .iter()
-            .rposition(|peer| peer.data_centre != settings.data_centre);
-        if let Some(far) = far {
-            addresses.swap(1, far);
-        }
-    }
-    addresses.truncate(ASKED);
     addresses
 }
 
@@ -234,7 +256,7 @@
             }
             Err(error) => {
                 info!(instance.log, "lease of this instance not renewed"; "error" => %error);
-                for address in some_peers(instance) {
+                for address in some_peers(instance).into_iter().take(FIRST_ASKED) {
                     if instance.peers.vouch(address, lease).await == Ok(true) {
                         break;
                     }
