Wait for lent shares within the patience, and leave a partitioned primary in place

Cause: a statement whose wait for the answer of a lender could end after its patience was refused at once, so after a restart of all instances a second of statements was refused by rate; a primary cut off with half of the instances was replaced by the other half, and nobody had one for 4.6 s. Change: the wait is cut to the patience (50 ms, in the first 2 s of a process most of the timeout); with more than a quarter of the instances unheard a silent primary is replaced after 7 s only.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -28,6 +28,9 @@
 /// Time for which statements in flight at a primary may end after it is moved.
 const MOVE_PATIENCE: Duration = Duration::from_millis(200);
 
+/// Time after the start of the process in which the first looks at the store are waited for.
+const START_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Usual time of an answer, assumed of an endpoint that has not been asked lately.
 const USUAL_ANSWER: Duration = Duration::from_millis(15);
 
@@ -149,6 +152,11 @@
         self.view.borrow().catalog().cloned()
     }
 
+    /// Tells whether the process has just started and may not have all that it needs yet.
+    pub fn is_starting(&self) -> bool {
+        self.clock.uptime() < START_PATIENCE
+    }
+
     /// Tells whether the instance ends.
     pub fn is_draining(&self) -> bool {
         *self.phase.borrow() != Phase::Serving
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -128,8 +128,9 @@
             match admission {
                 Admission::Run => return Ok(()),
                 Admission::Refused { retry_after } => return Err(retry_after),
-                Admission::Borrow { wait } if now + wait > until => return Err(wait),
+                Admission::Borrow { wait } if now >= until => return Err(wait),
                 Admission::Borrow { wait } => {
+                    let wait = wait.min(until.saturating_duration_since(now));
                     // Either end of the wait leads to the next decision.
                     let _ = tokio::time::timeout(wait, answered).await;
                 }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -25,6 +25,14 @@
 /// Part of a route's objective for which a statement waits that has not been offered to an endpoint.
 const PATIENCE_DIVISOR: u32 = 4;
 
+/// Part of a route's timeout within which a statement waits for a primary that is being changed, or
+/// for what a process that has just started does not have yet.
+const MOVE_PATIENCE: f64 = 0.8;
+
+/// Longest wait for a part of the rate that another instance may lend; a round trip between the
+/// users' regions takes up to 40 ms.
+const RATE_PATIENCE: Duration = Duration::from_millis(50);
+
 /// Longest wait for the first words of a caller.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -344,7 +352,12 @@
         if self.workspace.is_nobody() {
             return Ok(());
         }
-        let until = arrived + self.route.objective / PATIENCE_DIVISOR;
+        // A process that has just started gets its part of the rates within a second.
+        let until = if self.instance.is_starting() {
+            arrived + self.route.timeout.mul_f64(MOVE_PATIENCE)
+        } else {
+            arrived + (self.route.objective / PATIENCE_DIVISOR).min(RATE_PATIENCE)
+        };
         let quota = &self.instance.quota;
         let admitted = quota.admit(&self.instance, &self.workspace, until).await;
         admitted.map_err(|retry_after| {
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -13,7 +13,7 @@
 use slog::{debug, info};
 
 use super::transaction::roll_back;
-use super::{PATIENCE_DIVISOR, Session};
+use super::{MOVE_PATIENCE, PATIENCE_DIVISOR, Session};
 use crate::caller::{Code, Refusal, State, Statement};
 use crate::catalog::Consistency;
 use crate::endpoint::{Access, Endpoint, Reply, Request, Verb};
@@ -23,12 +23,6 @@
 /// Pause between two rounds over the members.
 const ROUND_PAUSE: Duration = Duration::from_millis(12);
 
-/// Time after the start of the process in which its first look at the store is waited for.
-const START_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Part of a route's timeout within which a statement waits for a primary that is being changed.
-const MOVE_PATIENCE: f64 = 0.8;
-
 /// Part of a route's objective for which a read waits at one member, at least, before it goes to
 /// another; long statements and a full queue stay below it.
 const TRY_DIVISOR: u32 = 2;
@@ -232,8 +226,7 @@
     fn is_moving(&self, access: Access, begins: Option<bool>) -> bool {
         self.needs_primary(access, begins) && {
             let view = self.instance.view.borrow();
-            let is_starting = self.instance.clock.uptime() < START_PATIENCE;
-            is_starting
+            self.instance.is_starting()
                 || view.tenure.holds(self.instance.now())
                     && view.primary(&self.route.service).is_none()
         }
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -60,6 +60,13 @@
 /// Longest wait for a promoted member to lead.
 const LEAD_WAIT: Duration = Duration::from_secs(3);
 
+/// Part of the instances that may be unheard for a silent primary to be replaced at once.
+const UNHEARD_DIVISOR: usize = 4;
+
+/// Time for which a primary must be silent where more instances are unheard; most partitions of the
+/// users' days end within 7 s.
+const PARTITION_PATIENCE: Duration = Duration::from_secs(7);
+
 /// Age of an answer up to which an endpoint counts as reached.
 const REACHED_AGE: Duration = Duration::from_millis(300);
 
@@ -355,9 +362,12 @@
         info!(self.instance.log, "primary suspected"; "service" => service,
             "endpoint" => id.as_ref(), "reached_by" => reached, "silent_for" => silent,
             "unheard" => answers.len() - reached - silent, "own" => ?own_reach);
-        // An instance that hears neither the primary nor most others may be cut off itself.
-        let heard = (silent + 1) * 2 > answers.len();
-        reached == 0 && own_reach == Reach::Silent && heard
+        let unheard = answers.len() - reached - silent;
+        // Where many instances are not heard, the primary may serve them behind a partition.
+        let few_unheard = unheard * UNHEARD_DIVISOR <= answers.len();
+        let since = self.wrong_since.borrow().get(service).copied();
+        let is_long = since.is_some_and(|since| self.instance.now() >= since + PARTITION_PATIENCE);
+        reached == 0 && own_reach == Reach::Silent && (few_unheard || is_long)
     }
 
     /// Takes the hold on promotions, or keeps it; none while another instance has it.
