--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,12 +1,13 @@
 //! Start, reload and end of an entry instance.
 
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinHandle;
 
 use crate::caller::Caller;
 use crate::instance::{Drivers, Instance, Phase};
@@ -77,7 +78,7 @@
         Rc::clone(&live),
         most,
     );
-    tokio::task::spawn_local(accepting);
+    let accepting = tokio::task::spawn_local(accepting);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -85,7 +86,7 @@
             () = tokio::time::sleep(SETTINGS_INTERVAL) => reread(&instance, &path, false),
         }
     }
-    end(&instance, &live).await;
+    end(&instance, &live, accepting).await;
     Ok(())
 }
 
@@ -101,13 +102,16 @@
     listener: TcpListener,
     instance: Rc<Instance>,
     acceptor: Rc<dyn Acceptor>,
-    live: Rc<()>,
+    live: Weak<()>,
     most: usize,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if Rc::strong_count(&live) > most {
+                let Some(token) = live.upgrade() else {
+                    return;
+                };
+                if sessions(&token) > most {
                     warn!(instance.log, "caller turned away, too many connections"; "limit" => most);
                     continue;
                 }
@@ -115,7 +119,6 @@
                     info!(instance.log, "options of a caller's connection not set"; "error" => %error);
                 }
                 let session = session::serve(Rc::clone(&instance), acceptor.adopt(stream));
-                let token = Rc::clone(&live);
                 tokio::task::spawn_local(async move {
                     session.await;
                     drop(token);
@@ -156,23 +159,29 @@
 }
 
 /// Lets the balancer and callers leave, and then takes this instance off the list.
-async fn end(instance: &Rc<Instance>, live: &Rc<()>) {
+async fn end(instance: &Rc<Instance>, live: &Rc<()>, accepting: JoinHandle<()>) {
     let since = instance.now();
     let grace = instance.settings().grace();
-    info!(instance.log, "stopping"; "sessions" => Rc::strong_count(live), "grace_ms" => grace.as_millis() as u64);
+    info!(instance.log, "stopping"; "sessions" => sessions(live),
+        "grace_ms" => grace.as_millis() as u64);
     instance.phase.send_replace(Phase::Draining(since));
     let until = since + grace.saturating_sub(END_MARGIN);
-    loop {
+    while instance.now() < (since + ACCEPT_AFTER_TERM).min(until) {
+        tokio::time::sleep(END_STEP).await;
+    }
+    // A caller accepted from here on would be cut by the end of the process.
+    accepting.abort();
+    let _ = accepting.await;
+    while sessions(live) > 0 && instance.now() < until {
         tokio::time::sleep(END_STEP).await;
-        let now = instance.now();
-        // The listener holds one token and so does this function.
-        let is_idle = Rc::strong_count(live) <= 2 && now >= since + ACCEPT_AFTER_TERM;
-        if is_idle || now >= until {
-            break;
-        }
     }
-    let left = Rc::strong_count(live).saturating_sub(2);
+    let cut = sessions(live);
     let withdrawn = tokio::time::timeout(END_MARGIN / 2, watcher::withdraw(instance)).await;
-    info!(instance.log, "stopped"; "sessions_cut" => left, "withdrawn" => withdrawn.is_ok(),
+    info!(instance.log, "stopped"; "sessions_cut" => cut, "withdrawn" => withdrawn.is_ok(),
         "took_ms" => instance.now().saturating_duration_since(since).as_millis() as u64);
 }
+
+/// Returns the number of open sessions, each of which holds a token beside the one of the daemon.
+fn sessions(live: &Rc<()>) -> usize {
+    Rc::strong_count(live) - 1
+}
