--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -75,7 +75,7 @@
         callers,
         Rc::clone(&instance),
         acceptor,
-        Rc::clone(&live),
+        Rc::downgrade(&live),
         most,
     );
     let accepting = tokio::task::spawn_local(accepting);
