--- a/crates/check/tests/layers.rs
+++ b/crates/check/tests/layers.rs
@@ -4,11 +4,12 @@
 use std::path::Path;
 
 /// Packages of the product from the lowest layer to the highest.
-const LAYERS: [&str; 5] = [
+const LAYERS: [&str; 6] = [
     "filbertbay-state",
     "filbertbay-coordination",
     "filbertbay-protocol",
     "filbertbay-transport",
+    "filbertbay-entry",
     "filbertbay",
 ];
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -16,11 +16,11 @@
 use crate::{health, peer, quota, succession, watcher};
 
 /// Time before SIGKILL by which the process has ended by itself.
-const END_MARGIN: Duration = Duration::from_millis(1_000);
+const END_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time after SIGTERM for which callers may still come, as the balancer takes two questions to
 /// notice.
-const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(3_000);
+const ACCEPT_AFTER_TERM: Duration = Duration::from_secs(3);
 
 /// Time between two looks at the end of the sessions.
 const END_STEP: Duration = Duration::from_millis(50);
@@ -44,7 +44,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if a listener can't be bound.
+/// Returns an error if a listener can't be bound or the signals can't be heard.
 pub async fn run(
     settings: Settings,
     path: PathBuf,
@@ -55,6 +55,42 @@
     health::recorder();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
+    let handle = spawn(settings, drivers, acceptor, log).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => reread(&handle.instance, &path, true),
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => reread(&handle.instance, &path, false),
+        }
+    }
+    handle.stop().await;
+    Ok(())
+}
+
+/// Running instance.
+pub struct Handle {
+    instance: Rc<Instance>,
+    live: Rc<()>,
+    accepting: JoinHandle<()>,
+}
+
+impl std::fmt::Debug for Handle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Handle").finish_non_exhaustive()
+    }
+}
+
+/// Starts an entry instance on the present `LocalSet`.
+///
+/// # Errors
+///
+/// Returns an error if a listener can't be bound.
+pub async fn spawn(
+    settings: Settings,
+    drivers: Drivers,
+    acceptor: Rc<dyn Acceptor>,
+    log: Logger,
+) -> std::io::Result<Handle> {
     let callers = TcpListener::bind(settings.callers).await?;
     let readiness = TcpListener::bind(settings.readiness).await?;
     let peers = TcpListener::bind(settings.peers).await?;
@@ -71,23 +107,26 @@
     health::serve_readiness(readiness, &readiness_path, &instance);
     health::serve_metrics(metrics, &instance);
     let live = Rc::new(());
-    let accepting = accept(
-        callers,
-        Rc::clone(&instance),
-        acceptor,
-        Rc::downgrade(&live),
-        most,
-    );
+    let token = Rc::downgrade(&live);
+    let accepting = accept(callers, Rc::clone(&instance), acceptor, token, most);
     let accepting = tokio::task::spawn_local(accepting);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => reread(&instance, &path, true),
-            () = tokio::time::sleep(SETTINGS_INTERVAL) => reread(&instance, &path, false),
-        }
+    Ok(Handle {
+        instance,
+        live,
+        accepting,
+    })
+}
+
+impl Handle {
+    /// Returns the state of the instance.
+    pub fn instance(&self) -> &Rc<Instance> {
+        &self.instance
+    }
+
+    /// Lets the balancer and callers leave, and then takes the instance off the list.
+    pub async fn stop(self) {
+        end(&self.instance, &self.live, self.accepting).await;
     }
-    end(&instance, &live, accepting).await;
-    Ok(())
 }
 
 /// Returns a number that grows with each start, as long as the time of day does not go back by more
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -65,6 +65,12 @@
     pub connector: Rc<dyn Connector>,
 }
 
+impl std::fmt::Debug for Drivers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Drivers").finish_non_exhaustive()
+    }
+}
+
 /// Statements that a primary works on for this instance, under one record.
 #[derive(Debug, Default)]
 struct Use {
@@ -113,6 +119,12 @@
     uses: RefCell<BTreeMap<Arc<str>, Rc<Use>>>,
 }
 
+impl std::fmt::Debug for Instance {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Instance").finish_non_exhaustive()
+    }
+}
+
 impl Instance {
     /// Creates the state; nothing runs yet.
     pub fn new(settings: Settings, drivers: Drivers, incarnation: u64, log: Logger) -> Rc<Self> {
@@ -184,7 +196,7 @@
             .view
             .borrow_mut()
             .replace(now, listing, dialect.as_ref());
-        self.react(asked, changes);
+        self.react(asked, &changes);
     }
 
     /// Takes events up to a revision that state the store as of `asked` or later.
@@ -194,7 +206,7 @@
         let mut view = self.view.borrow_mut();
         let changes = view.apply(now, events, revision, dialect.as_ref());
         drop(view);
-        self.react(asked, changes);
+        self.react(asked, &changes);
     }
 
     /// Takes one item that another instance passed on.
@@ -204,10 +216,10 @@
         let mut view = self.view.borrow_mut();
         let changes = view.apply(now, vec![Event::Put(item)], 0, dialect.as_ref());
         drop(view);
-        self.announce(changes);
+        self.announce(&changes);
     }
 
-    fn react(self: &Rc<Self>, asked: Instant, changes: Vec<Change>) {
+    fn react(self: &Rc<Self>, asked: Instant, changes: &[Change]) {
         {
             let name = Arc::clone(&self.settings.borrow().name);
             let mut view = self.view.borrow_mut();
@@ -221,11 +233,11 @@
     }
 
     /// Acts on changes of the view and wakes whoever waits for them.
-    fn announce(self: &Rc<Self>, changes: Vec<Change>) {
+    fn announce(self: &Rc<Self>, changes: &[Change]) {
         if changes.is_empty() {
             return;
         }
-        for change in &changes {
+        for change in changes {
             self.log_change(change);
             match change {
                 Change::Lead(service) => self.leave_primary(service),
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -225,6 +225,12 @@
     links: RefCell<BTreeMap<SocketAddr, Rc<Link>>>,
 }
 
+impl std::fmt::Debug for Peers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Peers").finish_non_exhaustive()
+    }
+}
+
 impl Peers {
     /// Asks for the store as another instance sees it.
     ///
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -395,6 +395,12 @@
     tickets: Cell<u64>,
 }
 
+impl std::fmt::Debug for Pool {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Pool").finish_non_exhaustive()
+    }
+}
+
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(connector: Rc<dyn Connector>, clock: Clock) -> Self {
@@ -456,10 +462,10 @@
         priority: u8,
         until: Instant,
     ) -> Result<Held, AcquireError> {
-        if let Some(connection) = self.take_idle(member, workspace) {
-            return Ok(self.hold(member, connection));
+        if let Some(connection) = take_idle(member, workspace) {
+            return Ok(hold(member, connection));
         }
-        if !self.reserve(member, limit) {
+        if !reserve(member, limit) {
             let (sender, receiver) = oneshot::channel();
             let ticket = (priority, self.tickets.get());
             self.tickets.set(ticket.1 + 1);
@@ -472,7 +478,7 @@
             let granted = tokio::time::timeout(wait, receiver).await;
             member.state.borrow_mut().waiting.remove(&ticket);
             match granted {
-                Ok(Ok(Grant::Connection(connection))) => return Ok(self.hold(member, connection)),
+                Ok(Ok(Grant::Connection(connection))) => return Ok(hold(member, connection)),
                 Ok(Ok(Grant::Slot)) => {}
                 Ok(Err(_)) | Err(_) => return Err(AcquireError::Busy),
             }
@@ -493,7 +499,7 @@
         let idle = member.state.borrow_mut().idle.pop();
         if let Some(connection) = idle {
             if !connection.link.is_stale() {
-                return Ok(self.hold(member, connection));
+                return Ok(hold(member, connection));
             }
             member.close_one();
         }
@@ -502,45 +508,6 @@
         self.connect(member, workspace).await
     }
 
-    fn hold(&self, member: &Rc<Member>, connection: Connection) -> Held {
-        Held {
-            connection: Some(connection),
-            member: Rc::clone(member),
-        }
-    }
-
-    fn take_idle(&self, member: &Rc<Member>, workspace: &Arc<str>) -> Option<Connection> {
-        loop {
-            let mut state = member.state.borrow_mut();
-            let place = state
-                .idle
-                .iter()
-                .rposition(|one| one.workspace == *workspace)?;
-            let connection = state.idle.remove(place);
-            drop(state);
-            if !connection.link.is_stale() {
-                return Some(connection);
-            }
-            member.close_one();
-        }
-    }
-
-    /// Takes a place for a new connection, if need be that of an idle one.
-    fn reserve(&self, member: &Rc<Member>, limit: usize) -> bool {
-        let mut state = member.state.borrow_mut();
-        state.limit = limit;
-        if state.open < limit {
-            state.open += 1;
-            return true;
-        }
-        if state.idle.is_empty() {
-            return false;
-        }
-        // The least lately used idle connection closes, and its place is taken over.
-        drop(state.idle.remove(0));
-        true
-    }
-
     async fn connect(
         &self,
         member: &Rc<Member>,
@@ -581,28 +548,29 @@
                 ConnectError::Failed(late)
             }
         };
-        Err(self.refused(member, now, error))
+        Err(refused(member, now, error))
     }
+}
 
-    fn refused(&self, member: &Rc<Member>, now: Instant, error: ConnectError) -> AcquireError {
-        match error {
-            ConnectError::Refused(refusal) => {
-                if refusal.code == Code::TooManyConnections {
-                    member.state.borrow_mut().full_until = Some(now + FULL_PAUSE);
-                    member.answered(now);
-                } else {
-                    member.failed(now);
-                }
-                AcquireError::Refused(refusal.code)
-            }
-            ConnectError::Absent => {
-                member.failed(now);
-                AcquireError::Unreachable("connection refused".to_owned())
-            }
-            ConnectError::Failed(error) => {
+/// Notes why no connection could be opened.
+fn refused(member: &Rc<Member>, now: Instant, error: ConnectError) -> AcquireError {
+    match error {
+        ConnectError::Refused(refusal) => {
+            if refusal.code == Code::TooManyConnections {
+                member.state.borrow_mut().full_until = Some(now + FULL_PAUSE);
+                member.answered(now);
+            } else {
                 member.failed(now);
-                AcquireError::Unreachable(error.to_string())
             }
+            AcquireError::Refused(refusal.code)
+        }
+        ConnectError::Absent => {
+            member.failed(now);
+            AcquireError::Unreachable("connection refused".to_owned())
+        }
+        ConnectError::Failed(error) => {
+            member.failed(now);
+            AcquireError::Unreachable(error.to_string())
         }
     }
 }
@@ -617,3 +585,42 @@
         }
     }
 }
+
+fn hold(member: &Rc<Member>, connection: Connection) -> Held {
+    Held {
+        connection: Some(connection),
+        member: Rc::clone(member),
+    }
+}
+
+fn take_idle(member: &Rc<Member>, workspace: &Arc<str>) -> Option<Connection> {
+    loop {
+        let mut state = member.state.borrow_mut();
+        let place = state
+            .idle
+            .iter()
+            .rposition(|one| one.workspace == *workspace)?;
+        let connection = state.idle.remove(place);
+        drop(state);
+        if !connection.link.is_stale() {
+            return Some(connection);
+        }
+        member.close_one();
+    }
+}
+
+/// Takes a place for a new connection, if need be that of an idle one.
+fn reserve(member: &Rc<Member>, limit: usize) -> bool {
+    let mut state = member.state.borrow_mut();
+    state.limit = limit;
+    if state.open < limit {
+        state.open += 1;
+        return true;
+    }
+    if state.idle.is_empty() {
+        return false;
+    }
+    // The least lately used idle connection closes, and its place is taken over.
+    drop(state.idle.remove(0));
+    true
+}
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -59,6 +59,12 @@
     outgoing: Notify,
 }
 
+impl std::fmt::Debug for Quota {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Quota").finish_non_exhaustive()
+    }
+}
+
 impl Quota {
     /// Creates the rates of an instance that holds no lanes yet.
     pub fn new(settings: &Settings, incarnation: u64) -> Self {
@@ -380,7 +386,9 @@
     async fn give(&self, own: &Holder, slots: &[usize], live: &[Holder]) {
         let settling = {
             let mut ledger = self.instance.quota.ledger.borrow_mut();
-            slots.iter().for_each(|slot| ledger.release(*slot));
+            for slot in slots {
+                ledger.release(*slot);
+            }
             ledger.settling()
         };
         tokio::time::sleep(settling).await;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -64,6 +64,12 @@
     log: Logger,
 }
 
+impl std::fmt::Debug for Session {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Session").finish_non_exhaustive()
+    }
+}
+
 /// Why a session ends.
 enum End {
     /// The caller left, or the instance closes the session.
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -138,7 +138,7 @@
                 let is_moving = last == Code::ReadOnly || self.is_moving(work.access, begins);
                 let limit = self.wait_limit(work, is_moving, was_offered, patience);
                 if now + ROUND_PAUSE >= limit {
-                    return Err(self.not_run(last, is_moving, tried.len()));
+                    return Err(not_run(last, is_moving, tried.len()));
                 }
                 tried.clear();
                 self.wait_round(is_moving, limit).await;
@@ -194,21 +194,6 @@
         patience
     }
 
-    fn not_run(&self, last: Code, is_moving: bool, tried: usize) -> Refusal {
-        if !last.is_not_run() {
-            let text = format!("{tried} endpoints tried, none served the read");
-            return Refusal::new(last, text);
-        }
-        let cause = if is_moving { "moving" } else { "capacity" };
-        metrics::counter!("filbertbay_refused_total", "cause" => cause).increment(1);
-        let text = if is_moving {
-            "the primary is being changed, retry after 300 ms".to_owned()
-        } else {
-            format!("no endpoint took it, {tried} tried, last {last}, retry after 100 ms")
-        };
-        Refusal::new(Code::Busy, text)
-    }
-
     /// Waits for the next round, or for a change of the view.
     async fn wait_round(&self, is_moving: bool, limit: Instant) {
         if !is_moving {
@@ -492,6 +477,22 @@
     }
 }
 
+/// Returns the refusal of a statement that did not run, or whose last try failed.
+fn not_run(last: Code, is_moving: bool, tried: usize) -> Refusal {
+    if !last.is_not_run() {
+        let text = format!("{tried} endpoints tried, none served the read");
+        return Refusal::new(last, text);
+    }
+    let cause = if is_moving { "moving" } else { "capacity" };
+    metrics::counter!("filbertbay_refused_total", "cause" => cause).increment(1);
+    let text = if is_moving {
+        "the primary is being changed, retry after 300 ms".to_owned()
+    } else {
+        format!("no endpoint took it, {tried} tried, last {last}, retry after 100 ms")
+    };
+    Refusal::new(Code::Busy, text)
+}
+
 /// Tells what a refusal means for the statement.
 fn missed(work: &Work<'_>, target: &Target, refusal: &Refusal, now: Instant) -> Miss {
     if refusal.code == Code::Lagging
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -279,9 +279,7 @@
         {
             return Some(Reason::Unfinished);
         }
-        if view.endpoints(service).next().is_none() {
-            return None;
-        }
+        view.endpoints(service).next()?;
         let Some(id) = view.primary(service) else {
             return Some(Reason::Leaderless);
         };
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -113,6 +113,12 @@
     shares: Option<Arc<Allocation>>,
 }
 
+impl std::fmt::Debug for View {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("View").finish_non_exhaustive()
+    }
+}
+
 impl View {
     /// Takes a full listing, which also tells what vanished.
     pub fn replace(
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -183,7 +183,7 @@
     others.sort_by_key(|peer| peer.data_centre != settings.data_centre);
     let mut addresses: Vec<SocketAddr> = others.iter().map(|peer| peer.address).collect();
     if addresses.is_empty() {
-        addresses = settings.seeds.clone();
+        addresses.clone_from(&settings.seeds);
         addresses.retain(|address| *address != settings.peers);
         addresses.shuffle(&mut rand::rng());
     }
