Tell the story of a request, say timeout where a try may have run, and keep one log and recorder

Cause: a read that lost a try and then found no member was refused with busy, though that try may have run; operators had to search logs of many instances by hand; log and metrics recorder stood twice.

--- a/crates/entry/src/log.rs
+++ b/crates/entry/src/log.rs
@@ -1,17 +1,21 @@
-//! Structured log on standard output.
+//! Structured log on standard output; text for a terminal goes to standard error.
 //!
 //! Records pass through a bounded queue to a writer. A full queue drops records, and the writer
 //! reports how many; a decision never waits for the log.
 
 use serde::{Deserialize, Serialize};
 use slog::{Drain, Logger, o};
+use strum::{Display, EnumString};
 
 /// Records that wait for the writer at most; more are dropped and counted.
 const CHANNEL: usize = 4_096;
 
 /// Format of the log.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize, Display, EnumString,
+)]
 #[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
 pub enum Format {
     /// One JSON object a line.
     #[default]
@@ -34,7 +38,7 @@
     let drain = match format {
         Format::Json => asynchronous(slog_json::Json::default(std::io::stdout()).fuse()),
         Format::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stdout().build();
+            let decorator = slog_term::TermDecorator::new().stderr().build();
             asynchronous(slog_term::FullFormat::new(decorator).build().fuse())
         }
     };
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -127,6 +127,7 @@
         let mut tried: Vec<Arc<str>> = Vec::new();
         let mut last = Code::Busy;
         let mut was_offered = false;
+        let mut was_lost = false;
         loop {
             let targets = self.targets(work.access, begins);
             let fresh = targets
@@ -138,7 +139,12 @@
                 let is_moving = last == Code::ReadOnly || self.is_moving(work.access, begins);
                 let limit = self.wait_limit(work, is_moving, was_offered, patience);
                 if now + ROUND_PAUSE >= limit {
-                    return Err(not_run(last, is_moving, tried.len()));
+                    return Err(if was_lost {
+                        // A try whose answer never came may have run.
+                        Refusal::new(Code::Timeout, "no endpoint answered in time")
+                    } else {
+                        not_run(last, is_moving, tried.len())
+                    });
                 }
                 tried.clear();
                 self.wait_round(is_moving, limit).await;
@@ -167,7 +173,7 @@
                         return Err(Refusal::new(Code::Unknown, text));
                     }
                     was_offered = true;
-                    last = Code::Timeout;
+                    was_lost = true;
                     tried.push(id);
                     if self.instance.now() + LEAST_TRY >= until {
                         return Err(Refusal::new(Code::Timeout, "no endpoint answered in time"));
@@ -477,12 +483,8 @@
     }
 }
 
-/// Returns the refusal of a statement that did not run, or whose last try failed.
+/// Returns the refusal of a statement that did not run.
 fn not_run(last: Code, is_moving: bool, tried: usize) -> Refusal {
-    if !last.is_not_run() {
-        let text = format!("{tried} endpoints tried, none served the read");
-        return Refusal::new(last, text);
-    }
     let cause = if is_moving { "moving" } else { "capacity" };
     metrics::counter!("filbertbay_refused_total", "cause" => cause).increment(1);
     let text = if is_moving {
--- a/crates/filbertbay/src/lib.rs
+++ b/crates/filbertbay/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod caller;
 pub mod control;
 pub mod daemon;
-pub mod log;
 pub mod metric;
 pub mod pool;
 pub mod published;
@@ -11,3 +10,5 @@
 pub mod settings;
 pub mod share;
 pub mod steering;
+
+pub use filbertbay_entry::log;
--- a/crates/filbertbay/src/main.rs
+++ b/crates/filbertbay/src/main.rs
@@ -6,7 +6,6 @@
 use bpaf::Bpaf;
 use filbertbay::settings::Settings;
 use filbertbay::{daemon, log};
-use filbertbay_entry::log::Format;
 use miette::{IntoDiagnostic, Result};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -58,7 +57,7 @@
         println!("{}: settings can be used", path.display());
         return Ok(());
     }
-    let log = filbertbay_entry::log::open(Format::Json, &settings.name, &settings.data_centre);
+    let log = log::open(log::Format::Json, &settings.name, &settings.data_centre);
     let drivers = filbertbay_platform::drivers(&settings).into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/filbertbay/src/metric.rs
+++ b/crates/filbertbay/src/metric.rs
@@ -6,13 +6,12 @@
 //! | `/health` | 200 while the instance takes new callers, 503 while it starts or drains |
 
 use std::net::SocketAddr;
-use std::sync::OnceLock;
 
 use axum::Router;
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use filbertbay_entry::health::recorder;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -61,18 +60,6 @@
     }
 }
 
-/// Returns the recorder of this process, which all instances in it share.
-fn recorder() -> &'static PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
-    RECORDER.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // A program that embeds the daemon may have its own recorder, which then takes the values.
-        let _ = metrics::set_global_recorder(recorder);
-        handle
-    })
-}
-
 /// Starts to record metrics.
 pub fn install() {
     recorder();
--- a/crates/filbertbay/src/settings.rs
+++ b/crates/filbertbay/src/settings.rs
@@ -28,8 +28,8 @@
 use std::sync::Arc;
 
 pub use self::check::{Error, Problem};
+pub use filbertbay_entry::log::Format as Log;
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString};
 
 /// Settings of one daemon.
 #[derive(Clone, Serialize, Deserialize)]
@@ -96,20 +96,6 @@
     pub authorities: Option<PathBuf>,
 }
 
-/// Format of the log.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize, Display, EnumString,
-)]
-#[serde(rename_all = "lowercase")]
-#[strum(serialize_all = "lowercase")]
-pub enum Log {
-    /// One JSON object a line.
-    #[default]
-    Json,
-    /// For a person at a terminal.
-    Terminal,
-}
-
 impl Settings {
     #[expect(
         clippy::unnecessary_wraps,
--- /dev/null
+++ b/crates/filbertctl/src/command/explain.rs
@@ -0,0 +1,112 @@
+//! `filbertctl explain`.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use bpaf::Bpaf;
+use serde_json::{Map, Value};
+
+use crate::exit::{Code, Failure};
+
+/// Messages that tell what an instance believes, with the field that tells them apart.
+const BELIEFS: [(&str, &str); 6] = [
+    ("configuration in force", ""),
+    ("record of a primary changed", "service"),
+    ("record of shares changed", ""),
+    ("store lost", ""),
+    ("store reached", ""),
+    ("readiness changed", ""),
+];
+
+/// Fields that stand at the front of each line, or say nothing to a reader.
+const LEFT_OUT: [&str; 5] = ["msg", "ts", "level", "instance", "data_centre"];
+
+/// Tells the story of a request from the logs of all instances.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Id of the statement
+    #[bpaf(positional("ID"))]
+    id: String,
+    /// Log of an instance, one JSON object a line
+    #[bpaf(positional("LOG"), some("name at least one log"))]
+    logs: Vec<PathBuf>,
+}
+
+type Record = Map<String, Value>;
+
+/// Runs `filbertctl explain`.
+pub fn run(options: &Options) -> Result<(), Failure> {
+    let mut records = Vec::new();
+    for path in &options.logs {
+        records.extend(read(path)?);
+    }
+    let lines = story(&options.id, records);
+    if lines.is_empty() {
+        let message = format!("no line of the logs has the id {:?}", options.id);
+        return Err(Failure::new(Code::Failed, message));
+    }
+    for line in lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<Vec<Record>, Failure> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        let message = format!("log {} can't be read: {error}", path.display());
+        Failure::new(Code::Input, message)
+    })?;
+    // What precedes the object, such as a time that a collector adds, is passed over.
+    let objects = text
+        .lines()
+        .filter_map(|line| line.find('{').map(|at| &line[at..]));
+    Ok(objects
+        .filter_map(|object| serde_json::from_str(object).ok())
+        .collect())
+}
+
+/// Returns the lines of a request, after what its instances believed before each of them.
+fn story(id: &str, mut records: Vec<Record>) -> Vec<String> {
+    records.sort_by(|one, other| text(one, "ts").cmp(text(other, "ts")));
+    let mut beliefs: BTreeMap<(String, &str, String), Record> = BTreeMap::new();
+    let mut lines = Vec::new();
+    for record in records {
+        let message = text(&record, "msg").to_owned();
+        if text(&record, "id") == id {
+            let instance = text(&record, "instance");
+            let known = beliefs.extract_if(.., |(name, _, _), _| name == instance);
+            let mut known: Vec<Record> = known.map(|(_, record)| record).collect();
+            known.sort_by(|one, other| text(one, "ts").cmp(text(other, "ts")));
+            lines.extend(known.iter().map(|belief| format!("  {}", line(belief))));
+            lines.push(line(&record));
+        } else if let Some((known, field)) = BELIEFS.iter().find(|(one, _)| *one == message) {
+            let instance = text(&record, "instance").to_owned();
+            let of = text(&record, field).to_owned();
+            beliefs.insert((instance, *known, of), record);
+        }
+    }
+    lines
+}
+
+fn text<'a>(record: &'a Record, field: &str) -> &'a str {
+    record
+        .get(field)
+        .and_then(Value::as_str)
+        .unwrap_or_default()
+}
+
+fn line(record: &Record) -> String {
+    let fields = record.iter();
+    let fields =
+        fields.filter(|(name, value)| !LEFT_OUT.contains(&name.as_str()) && !value.is_null());
+    let fields: Vec<String> = fields
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    let (at, instance) = (text(record, "ts"), text(record, "instance"));
+    format!(
+        "{at} {instance} {} {}",
+        text(record, "msg"),
+        fields.join(" ")
+    )
+}
--- a/crates/filbertctl/src/command/mod.rs
+++ b/crates/filbertctl/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod bench;
 mod config;
 mod data_centre;
+mod explain;
 mod fault;
 mod group;
 mod key;
@@ -64,6 +65,9 @@
     /// Shows the version in force and the instances.
     #[bpaf(command)]
     Status(#[bpaf(external(status::options))] status::Options),
+    /// Tells the story of a request from the logs of all instances.
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::options))] explain::Options),
     /// Lists who changed what, when and why.
     #[bpaf(command)]
     Audit(#[bpaf(external(audit::options))] audit::Options),
@@ -91,6 +95,7 @@
             Self::Member(options) => member::run(options).await,
             Self::DataCentre(options) => data_centre::run(options).await,
             Self::Status(options) => status::run(options).await,
+            Self::Explain(options) => explain::run(&options),
             Self::Audit(options) => audit::run(options).await,
         }
     }
