--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -433,7 +433,8 @@
         member.latency(now, usual)
     }
 
-    /// Returns this instance's part of the connections that an endpoint accepts.
+    /// Returns this instance's part of the connections that an endpoint accepts, zero if there are
+    /// fewer than instances.
     pub fn connection_limit(&self, service: &str) -> usize {
         let Some(catalog) = self.catalog() else {
             return 1;
@@ -443,6 +444,6 @@
             .get(service)
             .map_or(1, |one| one.connections);
         let instances = self.view.borrow().peers().len().max(1);
-        (all / instances).max(1)
+        all / instances
     }
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -60,6 +60,8 @@
     idle: Vec<Connection>,
     open: usize,
     limit: usize,
+    /// Whether there are fewer connections than instances, so that none is kept.
+    is_scarce: bool,
     waiting: BTreeMap<(u8, u64), Waiter>,
     pulse: Pulse,
     latency: Option<(Duration, Instant)>,
@@ -198,7 +200,8 @@
         }
         loop {
             let mut state = self.state.borrow_mut();
-            if state.open > state.limit {
+            let is_spare = state.is_scarce && state.waiting.is_empty();
+            if is_spare || state.open > state.limit {
                 drop(state);
                 return self.close_one();
             }
@@ -449,7 +452,8 @@
 
     /// Returns a connection of a workspace to a member.
     ///
-    /// `limit` is this instance's part of the endpoint's connections; the wait ends at `until`.
+    /// `limit` is this instance's part of the endpoint's connections, zero if there are fewer than
+    /// instances; the wait ends at `until`.
     ///
     /// # Errors
     ///
@@ -612,8 +616,9 @@
 /// Takes a place for a new connection, if need be that of an idle one.
 fn reserve(member: &Rc<Member>, limit: usize) -> bool {
     let mut state = member.state.borrow_mut();
-    state.limit = limit;
-    if state.open < limit {
+    state.limit = limit.max(1);
+    state.is_scarce = limit == 0;
+    if state.open < state.limit {
         state.open += 1;
         return true;
     }
