--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -3,6 +3,7 @@
 //! | call | purpose |
 //! |---|---|
 //! | `view` | the store as another instance sees it, for one that the store turns away |
+//! | `follow` | the same, as soon as it changes, for the many instances of a large data centre |
 //! | `vouch` | keeps the entry of such an instance in the store |
 //! | `leave` | stops the use of a primary that is being changed |
 //! | `reach` | whether another instance gets answers of an endpoint |
@@ -47,6 +48,9 @@
 /// Longest wait for the view, which may be some hundred kilobytes.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which changes are gathered before they are passed on.
+const GATHER: Duration = Duration::from_millis(100);
+
 /// Longest wait for an instance to leave a primary; it gives up what is in flight after 200 ms.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -78,6 +82,8 @@
 pub trait Peer {
     /// Returns the store as this instance sees it.
     async fn view(seen: u64) -> Option<Sight>;
+    /// Returns the store as this instance sees it once it has something newer, or after the wait.
+    async fn follow(seen: u64, wait: Duration) -> Option<Sight>;
     /// Renews the lease of the asker's entry in the store, and tells whether that was done.
     async fn vouch(lease: u64) -> bool;
     /// Stops using the primary of a service, whose record is passed along.
@@ -93,15 +99,17 @@
 
 impl Peer for Service {
     async fn view(self, _: context::Context, seen: u64) -> Option<Sight> {
-        let view = self.0.view.borrow();
-        let age = view.tenure.age(self.0.now())?;
-        let revision = view.revision();
-        let items = (view.newest() > seen).then(|| view.listing().items);
-        Some(Sight {
-            items,
-            revision,
-            age,
-        })
+        sight(&self.0, seen)
+    }
+
+    async fn follow(self, _: context::Context, seen: u64, wait: Duration) -> Option<Sight> {
+        let mut changed = self.0.changed.subscribe();
+        let newer = changed.wait_for(|_| self.0.view.borrow().newest() > seen);
+        if tokio::time::timeout(wait, newer).await.is_ok() {
+            // Changes that come together are passed on together.
+            tokio::time::sleep(GATHER).await;
+        }
+        sight(&self.0, seen)
     }
 
     async fn vouch(self, _: context::Context, lease: u64) -> bool {
@@ -132,6 +140,18 @@
     }
 }
 
+fn sight(instance: &Instance, seen: u64) -> Option<Sight> {
+    let view = instance.view.borrow();
+    let age = view.tenure.age(instance.now())?;
+    let revision = view.revision();
+    let items = (view.newest() > seen).then(|| view.listing().items);
+    Some(Sight {
+        items,
+        revision,
+        age,
+    })
+}
+
 /// Serves other instances until the process ends.
 pub fn serve(listener: TcpListener, instance: Rc<Instance>) {
     tokio::task::spawn_local(async move {
@@ -244,6 +264,23 @@
         .await
     }
 
+    /// Waits for something newer at another instance, for `wait` at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer came.
+    pub async fn follow(
+        &self,
+        to: SocketAddr,
+        seen: u64,
+        wait: Duration,
+    ) -> Result<Option<Sight>, CallError> {
+        self.call(to, wait + VIEW_TIMEOUT, async move |client, context| {
+            client.follow(context, seen, wait).await
+        })
+        .await
+    }
+
     /// Asks an instance to renew a lease.
     ///
     /// # Errors
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -3,7 +3,7 @@
 //! The record of holders lies in the store and comes with the view. Messages between instances go
 //! over their links. Nothing here waits for the store: without it the record stays as it is.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +26,10 @@
 /// Length of a loan with refill; also the time for which the lanes of a restarted holder rest.
 const LOAN: Duration = Duration::from_millis(500);
 
+/// Time without proof after which an instance stops spending its lanes; shorter than the time after
+/// which those of an instance that left the list pass on.
+const FENCE: Duration = Duration::from_millis(9_500);
+
 /// Time after the start of a later incarnation before lanes of the earlier one pass on; longer than
 /// any loan that may rest on them.
 const SUCCEEDED_AFTER: Duration = Duration::from_millis(560);
@@ -33,6 +37,10 @@
 /// Time after a holder left the list before its lanes pass on; longer than a tenure.
 const RECLAIM_AFTER: Duration = Duration::from_secs(12);
 
+/// Time for which a workspace that is at its rate is refused without asking other instances again;
+/// what its lanes gain meanwhile is kept for later.
+const REFUSED_PAUSE: Duration = Duration::from_millis(60);
+
 /// Time between two looks at loans.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -55,6 +63,9 @@
     rates: RefCell<BTreeMap<Arc<str>, filbertbay_state::document::Rate>>,
     /// Messages that arose while those of another instance were handled.
     posted: RefCell<Vec<Envelope>>,
+    proven: Cell<Option<Instant>>,
+    /// Workspaces at their rate, and until when nothing is asked for them again.
+    refused: RefCell<BTreeMap<Arc<str>, (Instant, Duration)>>,
     answered: Notify,
     outgoing: Notify,
 }
@@ -68,15 +79,15 @@
 impl Quota {
     /// Creates the rates of an instance that holds no lanes yet.
     pub fn new(settings: &Settings, incarnation: u64) -> Self {
-        let config = Config::default()
-            .lease(LOAN)
-            .fence(TENURE.saturating_sub(LOAN));
+        let config = Config::default().lease(LOAN).fence(FENCE);
         let name = Arc::clone(&settings.name);
         let data_centre = Arc::clone(&settings.data_centre);
         Self {
             ledger: RefCell::new(Ledger::open(name, data_centre, incarnation, config)),
             rates: RefCell::default(),
             posted: RefCell::default(),
+            proven: Cell::default(),
+            refused: RefCell::default(),
             answered: Notify::new(),
             outgoing: Notify::new(),
         }
@@ -85,6 +96,12 @@
     /// Notes proof that this instance still holds its lanes.
     pub fn prove(&self, at: Instant) {
         self.ledger.borrow_mut().extend(at);
+        self.proven.set(self.proven.get().max(Some(at)));
+    }
+
+    /// Tells whether the proof is fresh enough for the lanes to be spent.
+    pub fn is_proven(&self, now: Instant) -> bool {
+        self.proven.get().is_some_and(|at| now < at + FENCE)
     }
 
     /// Takes a record of holders into use.
@@ -117,6 +134,10 @@
         until: Instant,
     ) -> Result<(), Duration> {
         let name = &workspace.name;
+        let known = self.refused.borrow().get(name).copied();
+        if let Some((_, retry_after)) = known.filter(|(until, _)| instance.now() < *until) {
+            return Err(retry_after);
+        }
         let mut first = true;
         loop {
             let now = instance.now();
@@ -133,7 +154,12 @@
             self.signal();
             match admission {
                 Admission::Run => return Ok(()),
-                Admission::Refused { retry_after } => return Err(retry_after),
+                Admission::Refused { retry_after } => {
+                    let until = now + retry_after.min(REFUSED_PAUSE);
+                    let mut refused = self.refused.borrow_mut();
+                    refused.insert(Arc::clone(name), (until, retry_after));
+                    return Err(retry_after);
+                }
                 Admission::Borrow { wait } if now >= until => return Err(wait),
                 Admission::Borrow { wait } => {
                     let wait = wait.min(until.saturating_duration_since(now));
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -369,7 +369,12 @@
         admitted.map_err(|retry_after| {
             metrics::counter!("filbertbay_refused_total", "cause" => "rate").increment(1);
             let after = retry_after.as_millis().max(1);
-            let text = format!("the workspace is at its rate, retry after {after} ms");
+            let cause = if self.instance.quota.is_proven(self.instance.now()) {
+                "the workspace is at its rate"
+            } else {
+                "the part of the rate can't be proven without the store"
+            };
+            let text = format!("{cause}, retry after {after} ms");
             Refusal::new(Code::Busy, text)
         })
     }
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -1,6 +1,7 @@
 //! Tasks that keep the view of the store fresh and this instance listed in it.
 //!
-//! One long watch sees every change. While the store does not answer, or turns this instance away,
+//! One long watch sees every change. In a data centre with many instances a few of them watch, and the
+//! others follow one of these, so that calls to the store do not grow with the fleet. While the store does not answer, or turns this instance away,
 //! the view comes from another instance, with its age.
 
 use std::net::SocketAddr;
@@ -9,10 +10,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use filbertbay_coordination::rendezvous;
 use futures::future::join_all;
 use rand::Rng;
 use rand::seq::SliceRandom;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use crate::instance::Instance;
 use crate::peer::Sight;
@@ -26,6 +28,19 @@
 /// Longest wait of a watch while the store was away the last time.
 const PROBE_WAIT: Duration = Duration::from_millis(200);
 
+/// Instances of a data centre up to which each watches the store itself.
+const MANY: usize = 6;
+
+/// Instances of a larger data centre that watch the store.
+const WATCHERS: usize = 3;
+
+/// Longest wait at a watcher. With the age of the watcher's own contact, 3 s at most, it stays below the
+/// time for which an instance keeps primaries by itself.
+const FOLLOW_WAIT: Duration = Duration::from_millis(500);
+
+/// Age of a watcher's contact above which this instance watches the store itself.
+const OLDEST_SIGHT: Duration = Duration::from_secs(3);
+
 /// Time by which the store may end a watch too early by its own clock.
 const WATCH_SLACK: Duration = Duration::from_millis(50);
 
@@ -58,6 +73,9 @@
 async fn follow(instance: Rc<Instance>) {
     let mut is_listed = false;
     loop {
+        if is_listed && follow_watcher(&instance).await {
+            continue;
+        }
         let asked = instance.now();
         let outcome = if is_listed {
             watch(&instance, asked).await
@@ -78,6 +96,51 @@
     }
 }
 
+/// Follows a watcher of the data centre for a moment, and tells whether that took the place of a
+/// watch of our own.
+async fn follow_watcher(instance: &Rc<Instance>) -> bool {
+    let Some(watcher) = some_watcher(instance) else {
+        return false;
+    };
+    let asked = instance.now();
+    let seen = instance.view.borrow().newest();
+    let answer = instance.peers.follow(watcher, seen, FOLLOW_WAIT).await;
+    let Ok(Some(sight)) = answer else {
+        return false;
+    };
+    if sight.age > OLDEST_SIGHT {
+        return false;
+    }
+    let waited = sight.items.is_none() && instance.now() >= asked + FOLLOW_WAIT;
+    let stated = if waited {
+        asked + FOLLOW_WAIT.saturating_sub(WATCH_SLACK)
+    } else {
+        asked
+    };
+    take_sight(instance, stated, sight, watcher);
+    note_store(instance, None);
+    true
+}
+
+/// Returns an instance of the data centre that watches the store; none if this one does.
+fn some_watcher(instance: &Instance) -> Option<SocketAddr> {
+    let settings = instance.settings();
+    let view = instance.view.borrow();
+    let mates = view.peers().iter();
+    let mates = mates.filter(|(_, peer)| peer.data_centre == settings.data_centre);
+    let mates: Vec<(&Arc<str>, &Peer)> = mates.collect();
+    if mates.len() <= MANY {
+        return None;
+    }
+    let ranked = rendezvous::rank("watchers", mates, |(name, _)| name);
+    let watchers = &ranked[..WATCHERS];
+    if watchers.iter().any(|(name, _)| **name == settings.name) {
+        return None;
+    }
+    let choice = rand::rng().random_range(0..watchers.len());
+    watchers.get(choice).map(|(_, peer)| peer.address)
+}
+
 async fn list(instance: &Rc<Instance>, asked: Instant) -> Result<bool, Error> {
     let listing = instance.drivers.store.list("").await?;
     info!(instance.log, "store listed"; "items" => listing.items.len(),
@@ -161,7 +224,7 @@
     };
     match sight.items {
         Some(items) => {
-            info!(instance.log, "view taken from another instance"; "peer" => %from,
+            debug!(instance.log, "view taken from another instance"; "peer" => %from,
                 "revision" => sight.revision, "age_ms" => sight.age.as_millis() as u64);
             let revision = sight.revision;
             instance.take_listing(known_at, Listing { items, revision });
