--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -38,12 +38,10 @@
 }
 
 /// Limits of the endpoints of a service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Service {
     /// Connections that one endpoint accepts from all callers together.
     pub connections: usize,
-    /// Operations a second that one endpoint may get while it is cold; zero sets no limit.
-    pub cold_rate: f64,
 }
 
 /// Owner of keys and of a rate.
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -128,9 +128,6 @@
 
     /// Renews a lease.
     async fn renew(&self, lease: Lease) -> Result<(), Error>;
-
-    /// Ends a lease, and so removes its keys.
-    async fn end(&self, lease: Lease) -> Result<(), Error>;
 }
 
 /// Outcome of an order to promote an endpoint.
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -6,6 +6,13 @@
 //! answers, promotes the member with the furthest log and names it in the record. A holder that dies
 //! on the way leaves the service moving; whoever takes the hold next starts over.
 
+mod evidence;
+mod hold;
+
+use self::evidence::{ask, status};
+pub use self::evidence::{left, reach};
+use self::hold::Hold;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -22,16 +29,9 @@
 
 use crate::endpoint::{Endpoint, Request, Status, Verb};
 use crate::instance::Instance;
-use crate::peer::{CallError, Reach};
-use crate::store::{Change, Error, ErrorKind, Item, Lease, Promotion, Swap};
-use crate::view::{HOLDER_KEY, Holder, INSTANCE_PREFIX, LEAD_PREFIX, Peer};
-
-/// Time to live of the hold. The holder keeps it that long after its last change, so that holders
-/// do not take turns.
-const HOLD_TTL: Duration = Duration::from_secs(3);
-
-/// Time between two renewals of the hold during a change.
-const HOLD_RENEWAL: Duration = Duration::from_millis(900);
+use crate::peer::CallError;
+use crate::store::{Change, Error, ErrorKind, Item, Promotion, Swap};
+use crate::view::{INSTANCE_PREFIX, LEAD_PREFIX, Peer};
 
 /// Time by which each further instance waits for the one before it to act.
 const STAGGER: Duration = Duration::from_millis(150);
@@ -48,9 +48,6 @@
 /// Time for which a service may be without a known primary before one is promoted.
 const LEADERLESS: Duration = Duration::from_millis(2_500);
 
-/// Longest wait for the status of a member.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Longest wait for a replica to receive what the old primary had.
 const CATCH_UP: Duration = Duration::from_millis(1_200);
 
@@ -60,18 +57,8 @@
 /// Longest wait for a promoted member to lead.
 const LEAD_WAIT: Duration = Duration::from_secs(3);
 
-/// Part of the instances that may be unheard for a silent primary to be replaced at once.
-const UNHEARD_DIVISOR: usize = 4;
-
-/// Time for which a primary must be silent where more instances are unheard; most partitions of the
-/// users' days end within 7 s.
-const PARTITION_PATIENCE: Duration = Duration::from_secs(7);
-
-/// Age of an answer up to which an endpoint counts as reached.
-const REACHED_AGE: Duration = Duration::from_millis(300);
-
-/// Time for which an instance leaves statements at a former primary to end before it consents.
-const LEAVE_PATIENCE: Duration = Duration::from_millis(450);
+/// Longest wait for the report of a promoted member before it is asked.
+const ROLE_WAIT: Duration = Duration::from_millis(900);
 
 /// Why a primary is changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
@@ -98,14 +85,6 @@
     }
 }
 
-/// Hold on promotions.
-#[derive(Clone, Copy, Debug)]
-struct Hold {
-    fence: u64,
-    lease: Lease,
-    renewed: Instant,
-}
-
 struct Driver {
     instance: Rc<Instance>,
     hold: tokio::sync::Mutex<Option<Hold>>,
@@ -124,72 +103,6 @@
     tokio::task::spawn_local(driver.run());
 }
 
-/// Waits until no statement relies on the primary of a service under an older record, and tells
-/// whether that is so.
-pub async fn left(instance: &Rc<Instance>, service: &str, revision: u64) -> bool {
-    let until = instance.now() + LEAVE_PATIENCE;
-    loop {
-        let known = instance.view.borrow().lead_revision(service);
-        if known >= revision && instance.primary_uses(service) == 0 {
-            return true;
-        }
-        if instance.now() >= until {
-            return false;
-        }
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
-/// Tells whether this instance gets answers of an endpoint, and asks it if that is not known.
-pub async fn reach(instance: &Rc<Instance>, id: &str) -> Reach {
-    let endpoint = instance.view.borrow().endpoint(id).cloned();
-    let Some(endpoint) = endpoint else {
-        return Reach::Silent;
-    };
-    let member = instance.pool.member(&endpoint);
-    let pulse = member.pulse();
-    let is_recent = pulse
-        .silence(instance.now())
-        .is_some_and(|silence| silence <= REACHED_AGE);
-    if is_recent && !pulse.is_failing() {
-        return Reach::Answers;
-    }
-    match status(instance, &endpoint).await {
-        Some(_) => Reach::Answers,
-        None => Reach::Silent,
-    }
-}
-
-/// Asks a member for its status.
-async fn status(instance: &Rc<Instance>, endpoint: &Rc<Endpoint>) -> Option<Status> {
-    let request = Request::own(Verb::Status);
-    ask(instance, endpoint, &request).await
-}
-
-/// Sends a question of the instance itself to a member, and reads the status row of its answer.
-async fn ask(
-    instance: &Rc<Instance>,
-    endpoint: &Rc<Endpoint>,
-    request: &Request<'_>,
-) -> Option<Status> {
-    let member = instance.pool.member(endpoint);
-    let workspace = instance.catalog()?.workspaces.keys().next().cloned()?;
-    metrics::counter!("filbertbay_status_questions_total").increment(1);
-    let asking = async {
-        let mut held = instance.pool.acquire_any(&member, &workspace).await.ok()?;
-        let reply = held.run(request).await.ok()?;
-        member.answered(instance.now());
-        let status = instance.drivers.connector.status(&reply);
-        held.release();
-        status
-    };
-    let answer = tokio::time::timeout(STATUS_TIMEOUT, asking).await;
-    if answer.is_err() {
-        member.failed(instance.now());
-    }
-    answer.ok().flatten()
-}
-
 impl Driver {
     async fn run(self: Rc<Self>) {
         let mut changed = self.instance.changed.subscribe();
@@ -337,109 +250,6 @@
         }
     }
 
-    /// Tells whether no instance gets answers of the primary of a service.
-    async fn is_silent_for_all(&self, service: &str) -> bool {
-        let Some(id) = self.instance.view.borrow().primary(service) else {
-            return true;
-        };
-        let own = Arc::clone(&self.instance.settings().name);
-        let peers = self.instance.view.borrow().peers().clone();
-        let others = peers.iter().filter(|(name, _)| **name != own);
-        let asked =
-            others.map(|(_, peer)| self.instance.peers.reach(peer.address, Arc::clone(&id)));
-        let answers = join_all(asked).await;
-        let reached = answers
-            .iter()
-            .filter(|answer| **answer == Ok(Reach::Answers))
-            .count();
-        let silent = answers
-            .iter()
-            .filter(|answer| **answer == Ok(Reach::Silent))
-            .count();
-        let own_reach = reach(&self.instance, &id).await;
-        info!(self.instance.log, "primary suspected"; "service" => service,
-            "endpoint" => id.as_ref(), "reached_by" => reached, "silent_for" => silent,
-            "unheard" => answers.len() - reached - silent, "own" => ?own_reach);
-        let unheard = answers.len() - reached - silent;
-        // Where many instances are not heard, the primary may serve them behind a partition.
-        let few_unheard = unheard * UNHEARD_DIVISOR <= answers.len();
-        let since = self.wrong_since.borrow().get(service).copied();
-        let is_long = since.is_some_and(|since| self.instance.now() >= since + PARTITION_PATIENCE);
-        reached == 0 && own_reach == Reach::Silent && (few_unheard || is_long)
-    }
-
-    /// Takes the hold on promotions, or keeps it; none while another instance has it.
-    async fn take_hold(&self) -> Result<Option<Hold>, Error> {
-        let mut slot = self.hold.lock().await;
-        let store = &self.instance.drivers.store;
-        if let Some(hold) = slot.as_mut() {
-            let asked = self.instance.now();
-            match store.renew(hold.lease).await {
-                Ok(()) => {
-                    hold.renewed = asked;
-                    return Ok(Some(*hold));
-                }
-                Err(error) => {
-                    info!(self.instance.log, "hold on promotions lost"; "error" => %error);
-                    *slot = None;
-                }
-            }
-        }
-        if self.instance.view.borrow().holder().is_some() {
-            return Ok(None);
-        }
-        let renewed = self.instance.now();
-        let lease = store.open_lease(HOLD_TTL).await?;
-        let holder = Holder {
-            instance: Arc::clone(&self.instance.settings().name),
-            attempt: self.instance.incarnation,
-        };
-        let change = Change {
-            key: HOLDER_KEY,
-            expected: Some(0),
-            value: Some(encode(&holder)?),
-            lease: Some(lease),
-        };
-        match store.swap(change).await? {
-            Swap::Done(fence) => {
-                info!(self.instance.log, "hold on promotions taken"; "fence" => fence);
-                let hold = Hold {
-                    fence,
-                    lease,
-                    renewed,
-                };
-                *slot = Some(hold);
-                Ok(Some(hold))
-            }
-            Swap::Conflict => Ok(None),
-        }
-    }
-
-    /// Renews the hold if it is due, and tells whether it is certain to last a moment longer.
-    async fn keep_hold(&self) -> bool {
-        let mut slot = self.hold.lock().await;
-        let Some(hold) = slot.as_mut() else {
-            return false;
-        };
-        let now = self.instance.now();
-        if now < hold.renewed + HOLD_RENEWAL {
-            return true;
-        }
-        match self.instance.drivers.store.renew(hold.lease).await {
-            Ok(()) => {
-                hold.renewed = now;
-                true
-            }
-            Err(error) if error.kind() == ErrorKind::Ended => {
-                info!(self.instance.log, "hold on promotions ended"; "error" => %error);
-                *slot = None;
-                false
-            }
-            // The hold lasts for its time to live after the last renewal.
-            Err(_) => now + HOLD_RENEWAL < hold.renewed + HOLD_TTL,
-        }
-    }
-
     /// Walks through a change, and returns the new primary or what stands in the way.
     async fn change(
         &self,
@@ -688,7 +498,7 @@
                 return Err("the hold was lost before the heir led");
             }
             // The member reports its role at once; a question is the second way to hear of it.
-            if tokio::time::timeout(HOLD_RENEWAL, changed.changed())
+            if tokio::time::timeout(ROLE_WAIT, changed.changed())
                 .await
                 .is_err()
                 && status(&self.instance, next)
