Serve sooner after a loss of power: keep few connections, claim own lanes, wait for the rate

The log shows two reasons: the rate, as the record of shares named the new processes 0.7 to 0.9 s after their start with empty lanes, and TOOMANY of the primary, as endpoints hold the dead connections for 3 s and each instance kept its whole part open.

Change: a quarter of an instance's connections is kept idle; a process claims the lanes of its earlier incarnation by itself once no loan can rest on them, and counts what they gained since; loans of 250 ms in place of 500; operations wait for the rate of a process that just started. Lanes of a dead holder pass to its next incarnation. In a data centre with more instances than lanes of a group one holds all of them, and operations wait 100 ms for shares where the objective allows.

Conclusion: after a loss of power what is held open costs more than what it saves.

--- a/crates/coordination/src/share/account.rs
+++ b/crates/coordination/src/share/account.rs
@@ -118,6 +118,18 @@
         self.clip();
     }
 
+    /// Returns the rate of the workspace.
+    pub(super) fn rate(&self) -> Rate {
+        self.rate
+    }
+
+    /// Takes lanes over that gained `micros` before they came.
+    pub(super) fn credit(&mut self, now: Instant, base: Fraction, micros: u64) {
+        self.refresh(now, self.rate, base);
+        self.tokens = self.tokens.saturating_add(micros);
+        self.clip();
+    }
+
     /// Takes tokens for a statement, and tells whether there were enough.
     pub(super) fn take(&mut self, now: Instant, micros: u64, first: bool) -> bool {
         if first {
--- a/crates/coordination/src/share/allocation.rs
+++ b/crates/coordination/src/share/allocation.rs
@@ -40,7 +40,9 @@
     /// Creates a record in which the given instances hold near-equal numbers of lanes.
     ///
     /// Each instance is given by its name, incarnation and data centre. The lanes of a group are
-    /// spread over data centres first, so that a data centre that is cut off keeps its part.
+    /// spread over data centres first, so that a data centre that is cut off keeps its part. Where a
+    /// data centre has more instances than lanes of a group, one of them holds all of these: most
+    /// instances borrow anyway, and a lender of one lane seldom has a whole token.
     ///
     /// # Examples
     ///
@@ -59,7 +61,12 @@
             for (slot, lane) in lanes.iter_mut().enumerate() {
                 let centre = slot % centres.len();
                 let members = &centres[centre];
-                *lane = Some(members[next[centre] % members.len()]);
+                let member = if members.len() * centres.len() > LANES {
+                    slot / LANES
+                } else {
+                    next[centre]
+                };
+                *lane = Some(members[member % members.len()]);
                 next[centre] += 1;
             }
         }
@@ -106,6 +113,11 @@
     pub fn is(&self, instance: &Arc<str>, incarnation: u64) -> bool {
         self.incarnation == incarnation && self.instance == *instance
     }
+
+    /// Returns whether this is another incarnation of the same instance.
+    pub fn succeeds(&self, other: &Self) -> bool {
+        self.incarnation != other.incarnation && self.instance == other.instance
+    }
 }
 
 fn holder(&(instance, incarnation, data_centre): &(&str, u64, &str)) -> Holder {
--- a/crates/coordination/src/share/ledger.rs
+++ b/crates/coordination/src/share/ledger.rs
@@ -60,6 +60,7 @@
     allocation: Arc<Allocation>,
     counts: Vec<u8>,
     since: BTreeMap<usize, Instant>,
+    inherits_from: Option<Instant>,
     fenced_from: Option<Instant>,
     entries: HashMap<Arc<str>, Entry>,
     outbox: VecDeque<Envelope>,
@@ -81,6 +82,7 @@
             allocation: Arc::default(),
             counts: vec![0; GROUPS],
             since: BTreeMap::new(),
+            inherits_from: None,
             fenced_from: None,
             entries: HashMap::new(),
             outbox: VecDeque::new(),
@@ -88,9 +90,16 @@
         }
     }
 
+    /// Notes a moment from which neither an earlier incarnation of this instance nor a loan of its
+    /// lanes can have spent anything. Lanes that pass on from it have filled since then.
+    pub fn inherit(&mut self, since: Instant) {
+        self.inherits_from = Some(since);
+    }
+
     /// Takes a record of holders into use, unless a newer one is.
     ///
-    /// Buckets of lanes that are new to this instance start empty.
+    /// Buckets of lanes that are new to this instance start empty, but for those of its own earlier
+    /// incarnation after [`Ledger::inherit`].
     pub fn adopt(&mut self, now: Instant, allocation: Arc<Allocation>) {
         if allocation.epoch < self.allocation.epoch {
             return;
@@ -100,10 +109,39 @@
             holder.is_some_and(|holder| holder.is(&self.name, self.incarnation))
         };
         let slots: Vec<usize> = (0..GROUPS * LANES).filter(held).collect();
-        let since = |slot: usize| (slot, self.since.get(&slot).copied().unwrap_or(now));
-        self.since = slots.into_iter().map(since).collect();
+        // A record that was missed may have named another holder, who spent what the lanes gained.
+        let follows = allocation.epoch == self.allocation.epoch + 1;
+        let inherits_from = self.inherits_from.filter(|since| follows && *since < now);
+        let known = std::mem::take(&mut self.since);
+        let fresh: BTreeMap<usize, Instant> = slots
+            .iter()
+            .filter(|slot| !known.contains_key(slot))
+            .map(|slot| (*slot, self.filling_since(now, *slot, inherits_from)))
+            .collect();
+        let since = |slot: usize| Some((slot, *known.get(&slot).or(fresh.get(&slot))?));
+        self.since = slots.into_iter().filter_map(since).collect();
         self.allocation = allocation;
         self.count_lanes();
+        self.credit(now, &fresh);
+    }
+
+    /// Returns since when a lane that is new to this instance has filled.
+    fn filling_since(&self, now: Instant, slot: usize, inherits_from: Option<Instant>) -> Instant {
+        let former = self.allocation.holder(slot);
+        let is_own = former.is_some_and(|former| former.instance == self.name);
+        inherits_from.filter(|_| is_own).unwrap_or(now)
+    }
+
+    /// Adds what new lanes have gained to the accounts that are open already.
+    fn credit(&mut self, now: Instant, fresh: &BTreeMap<usize, Instant>) {
+        let fenced = self.fenced_from.is_none_or(|from| now >= from);
+        for entry in self.entries.values_mut() {
+            let micros = gained(fresh, now, entry.group, entry.account.rate());
+            if micros > 0 {
+                let base = lanes(&self.counts, entry.group, fenced);
+                entry.account.credit(now, base, micros);
+            }
+        }
     }
 
     /// Stops spending a lane that is about to pass to another instance.
@@ -270,7 +308,7 @@
         }
         let group = Allocation::group(workspace);
         let base = lanes(&self.counts, group, fenced);
-        let tokens = self.gained(now, group, rate);
+        let tokens = gained(&self.since, now, group, rate);
         let entry = Entry {
             account: Account::open(now, rate, base, tokens),
             group,
@@ -280,18 +318,6 @@
         self.entries.insert(Arc::clone(workspace), entry);
     }
 
-    /// Returns what the lanes of a group have gained in silence since this instance holds them.
-    fn gained(&self, now: Instant, group: usize, rate: Rate) -> u64 {
-        let slots = self.since.range(group * LANES..(group + 1) * LANES);
-        let burst = rate.burst.saturating_mul(MICROS_PER_TOKEN);
-        let gain = |since: &Instant| {
-            let micros = now.saturating_duration_since(*since).as_micros();
-            let gained = u128::from(rate.per_second).saturating_mul(micros);
-            u64::try_from(gained).unwrap_or(u64::MAX).min(burst)
-        };
-        slots.map(|(_, since)| gain(since)).sum::<u64>() / LANES as u64
-    }
-
     fn ask(&mut self, now: Instant, workspace: &Arc<str>, micros: u64) {
         let Some(entry) = self.entries.get_mut(workspace) else {
             return;
@@ -438,6 +464,18 @@
     }
 }
 
+/// Returns the micro-tokens that the lanes of a group have gained in silence since the given moments.
+fn gained(since: &BTreeMap<usize, Instant>, now: Instant, group: usize, rate: Rate) -> u64 {
+    let slots = since.range(group * LANES..(group + 1) * LANES);
+    let burst = rate.burst.saturating_mul(MICROS_PER_TOKEN);
+    let gain = |since: &Instant| {
+        let micros = now.saturating_duration_since(*since).as_micros();
+        let gained = u128::from(rate.per_second).saturating_mul(micros);
+        u64::try_from(gained).unwrap_or(u64::MAX).min(burst)
+    };
+    slots.map(|(_, since)| gain(since)).sum::<u64>() / LANES as u64
+}
+
 fn lanes(counts: &[u8], group: usize, fenced: bool) -> Fraction {
     if fenced {
         return Fraction::ZERO;
--- a/crates/coordination/src/share/plan.rs
+++ b/crates/coordination/src/share/plan.rs
@@ -15,8 +15,9 @@
 impl Allocation {
     /// Returns the record in which the lanes of dead holders pass to live ones, if there are any.
     ///
-    /// A lane stays in its data centre, so that a data centre that is cut off keeps its part; only
-    /// where no live instance is left does it stay with the dead one.
+    /// A lane passes to the next incarnation of its holder where that one lives. Else it stays in its
+    /// data centre, so that a data centre that is cut off keeps its part; only where no live instance
+    /// is left does it stay with the dead one.
     #[must_use]
     pub fn reclaimed<F>(&self, live: &[Holder], is_dead: F) -> Option<Self>
     where
@@ -30,9 +31,11 @@
             let Some(index) = lane.map(usize::from).filter(|index| dead[*index]) else {
                 continue;
             };
-            let data_centre = &self.holders[index].data_centre;
-            let mates = (0..live.len()).filter(|heir| live[*heir].data_centre == *data_centre);
-            let Some(heir) = mates.min_by_key(|heir| counts[*heir]) else {
+            let former = &self.holders[index];
+            let successor = live.iter().position(|one| one.succeeds(former));
+            let mates =
+                (0..live.len()).filter(|heir| live[*heir].data_centre == former.data_centre);
+            let Some(heir) = successor.or_else(|| mates.min_by_key(|heir| counts[*heir])) else {
                 continue;
             };
             next.assign(slot, &live[heir]);
--- a/crates/coordination/tests/fleet/mod.rs
+++ b/crates/coordination/tests/fleet/mod.rs
@@ -48,6 +48,7 @@
     /// Whether it still proves that it holds its lanes.
     pub proves: bool,
     incarnation: u64,
+    started: Instant,
     proved: Instant,
     /// Lanes that it has released, for good.
     giving: Vec<usize>,
@@ -132,6 +133,7 @@
             paused: None,
             proves: true,
             incarnation: 1,
+            started: now,
             proved: now,
             giving: Vec::new(),
             waiting: Vec::new(),
@@ -208,9 +210,30 @@
         let node = &mut self.nodes[index];
         if node.ledger.is_none() {
             node.incarnation += 1;
+            node.started = self.now;
             node.giving.clear();
             let centre = format!("centre-{}", node.centre);
-            node.ledger = Some(open(&node.name, &centre, node.incarnation, self.config));
+            let mut ledger = open(&node.name, &centre, node.incarnation, self.config);
+            // Loans of the lanes that the instance held before have ended then.
+            ledger.inherit(self.now + ledger.settling());
+            node.ledger = Some(ledger);
+        }
+    }
+
+    /// Writes a record in which an instance holds the lanes of its earlier incarnation, once no loan
+    /// can rest on them.
+    pub fn claim(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        let (name, incarnation) = (Arc::clone(&node.name), node.incarnation);
+        let settling = node.ledger.as_ref().map(Ledger::settling);
+        if settling.is_none_or(|settling| self.now < node.started + settling) {
+            return;
+        }
+        for slot in 0..GROUPS * LANES {
+            let former = self.allocation.holder(slot);
+            if former.is_some_and(|one| one.instance == name && one.incarnation != incarnation) {
+                self.give(slot, index);
+            }
         }
     }
 
--- a/crates/coordination/tests/plan.rs
+++ b/crates/coordination/tests/plan.rs
@@ -76,6 +76,22 @@
     check::runner(16).quickcheck(property as fn(Fleet, Vec<bool>) -> bool);
 }
 
+/// Each lane of a dead holder goes to its next incarnation where that one lives.
+#[test]
+fn lanes_pass_to_the_next_incarnation() {
+    fn property(fleet: Fleet, restarts: Vec<bool>) -> bool {
+        let record = even(&fleet.0);
+        let restarts = |n: usize| restarts.get(n).copied().unwrap_or(false);
+        let live: Vec<Holder> = (0..fleet.0.len())
+            .map(|n| holder(n, if restarts(n) { 2 } else { 1 }))
+            .collect();
+        let next = record.reclaimed(&live, |one| !live.contains(one));
+        let next = next.unwrap_or_else(|| record.clone());
+        (0..fleet.0.len()).all(|n| held(&next, &live[n]) == held(&record, &fleet.0[n]))
+    }
+    check::runner(16).quickcheck(property as fn(Fleet, Vec<bool>) -> bool);
+}
+
 /// When instances join, gifts lead to near-equal parts within a few rounds, with one holder a lane.
 #[test]
 fn gifts_reach_equal_parts() {
--- a/crates/coordination/tests/share.rs
+++ b/crates/coordination/tests/share.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::share::{Admission, Allocation, Config, LANES, Ledger};
+use filbertbay_coordination::share::{Admission, Allocation, Config, Holder, LANES, Ledger};
 use filbertbay_state::document::Rate;
 use fleet::Fleet;
 use quickcheck::{Arbitrary, Gen};
@@ -46,6 +46,9 @@
     Restart {
         instance: u8,
     },
+    Claim {
+        instance: u8,
+    },
     Pause {
         instance: u8,
         ms: u16,
@@ -85,6 +88,7 @@
             10 | 11 => Self::Flood { workspace },
             12 => Self::Kill { instance },
             13 => Self::Restart { instance },
+            37 | 38 => Self::Claim { instance },
             14 => Self::Pause {
                 instance,
                 ms: u16::arbitrary(g) % 20_000,
@@ -166,6 +170,7 @@
         Step::Pass { ms } => fleet.pass(Duration::from_millis(ms.into())),
         Step::Kill { instance } => fleet.kill(instance.into()),
         Step::Restart { instance } => fleet.restart(instance.into()),
+        Step::Claim { instance } => fleet.claim(instance.into()),
         Step::Pause { instance, ms } => {
             fleet.pause(instance.into(), Duration::from_millis(ms.into()));
         }
@@ -260,7 +265,7 @@
         let to = u8::arbitrary(g) % INSTANCES as u8;
         let lane = u8::arbitrary(g) % LANES as u8;
         let ms = u16::arbitrary(g);
-        Self(match u8::arbitrary(g) % 14 {
+        Self(match u8::arbitrary(g) % 16 {
             0 | 1 => Step::Flood { workspace },
             2 | 3 => Step::Arrive {
                 instance,
@@ -283,6 +288,7 @@
                 instance,
             },
             10 => Step::Reclaim { instance, to },
+            14 | 15 => Step::Claim { instance },
             _ => Step::Pass { ms: ms % 15_000 },
         })
     }
@@ -436,3 +442,34 @@
     // One second of refill, not the burst of 96.
     assert_eq!((0..100).filter(runs).count(), 4);
 }
+
+/// A restarted instance takes its earlier lanes over with what they gained, also for a workspace
+/// that asked before.
+#[test]
+fn lanes_of_an_earlier_incarnation_have_filled_since_nobody_could_spend_them() {
+    let start = Instant::now();
+    let (workspace, other) = (name(SLOW), name(0));
+    let rates = rates();
+    let mut ledger = Ledger::open("instance-0", "centre-0", 2, Config::default());
+    ledger.extend(start);
+    ledger.inherit(start + Duration::from_millis(500));
+    let earlier = Allocation::even(&[("instance-0", 1, "centre-0")]);
+    ledger.adopt(start, Arc::new(earlier.clone()));
+    let before = ledger.take(start, &workspace, rates[&workspace], 1);
+    assert_ne!(before, Admission::Run);
+    let live = Holder {
+        instance: "instance-0".into(),
+        incarnation: 2,
+        data_centre: "centre-0".into(),
+    };
+    let record = earlier.reclaimed(std::slice::from_ref(&live), |one| *one != live);
+    let now = start + Duration::from_millis(1_500);
+    ledger.adopt(now, Arc::new(record.unwrap()));
+    let mut runs = |workspace: &Arc<str>| {
+        let runs = |_: &u32| ledger.take(now, workspace, rates[workspace], 1) == Admission::Run;
+        (0..100).filter(runs).count()
+    };
+    // One second of refill, cut at the burst of 20.
+    assert_eq!(runs(&workspace), 4);
+    assert_eq!(runs(&other), 20);
+}
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -129,7 +129,7 @@
     /// Creates the state; nothing runs yet.
     pub fn new(settings: Settings, drivers: Drivers, incarnation: u64, log: Logger) -> Rc<Self> {
         let clock = Clock::start();
-        let quota = Quota::new(&settings, incarnation);
+        let quota = Quota::new(&settings, incarnation, clock.started());
         Rc::new(Self {
             pool: Pool::new(Rc::clone(&drivers.connector), clock),
             peers: Peers::default(),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -30,6 +30,10 @@
 /// Time for which no connection is opened after the endpoint had none left.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 
+/// Part of an instance's connections that are kept idle, as a divisor. An endpoint holds connections
+/// of a machine without power for 3 s, and the next process needs places beside them.
+const KEPT_DIVISOR: usize = 4;
+
 /// Share of a new latency in the moving average, as a divisor.
 const AVERAGE_DIVISOR: u32 = 8;
 
@@ -208,6 +212,12 @@
             }
             let Some(key) = next_waiter(&state.waiting, &connection.workspace) else {
                 state.idle.push(connection);
+                if state.idle.len() > (state.limit / KEPT_DIVISOR).max(1) {
+                    // The least lately used one closes.
+                    drop(state.idle.remove(0));
+                    drop(state);
+                    self.close_one();
+                }
                 return;
             };
             let Some(waiter) = state.waiting.remove(&key) else {
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -14,6 +14,7 @@
     Admission, Allocation, Config, Envelope, Holder, Ledger, Message,
 };
 use filbertbay_coordination::succession::TENURE;
+use rand::Rng;
 use slog::{info, warn};
 use tokio::sync::Notify;
 
@@ -24,7 +25,7 @@
 use crate::view::SHARES_KEY;
 
 /// Length of a loan with refill; also the time for which the lanes of a restarted holder rest.
-const LOAN: Duration = Duration::from_millis(500);
+const LOAN: Duration = Duration::from_millis(250);
 
 /// Time without proof after which an instance stops spending its lanes; shorter than the time after
 /// which those of an instance that left the list pass on.
@@ -32,7 +33,7 @@
 
 /// Time after the start of a later incarnation before lanes of the earlier one pass on; longer than
 /// any loan that may rest on them.
-const SUCCEEDED_AFTER: Duration = Duration::from_millis(560);
+const SUCCEEDED_AFTER: Duration = Duration::from_millis(300);
 
 /// Time after a holder left the list before its lanes pass on; longer than a tenure.
 const RECLAIM_AFTER: Duration = Duration::from_secs(12);
@@ -41,6 +42,10 @@
 /// what its lanes gain meanwhile is kept for later.
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time between two decisions on a statement that waits for the lanes of a process that has just
+/// started; a workspace of 20 operations a second gains one token of its rate meanwhile.
+const START_STEP: Duration = Duration::from_millis(50);
+
 /// Time between two looks at loans.
 const TICK: Duration = Duration::from_millis(200);
 
@@ -54,6 +59,9 @@
 /// Time by which each further instance waits for the one before it to write the record.
 const STAGGER: Duration = Duration::from_millis(100);
 
+/// Time by which claims of lanes are spread for each instance; a write takes 5 to 45 ms.
+const CLAIM_STEP: Duration = Duration::from_millis(10);
+
 /// Time between two looks at the record while this instance holds no lanes.
 const LANELESS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -77,13 +85,15 @@
 }
 
 impl Quota {
-    /// Creates the rates of an instance that holds no lanes yet.
-    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+    /// Creates the rates of an instance that was started at `started` and holds no lanes yet.
+    pub fn new(settings: &Settings, incarnation: u64, started: Instant) -> Self {
         let config = Config::default().lease(LOAN).fence(FENCE);
         let name = Arc::clone(&settings.name);
         let data_centre = Arc::clone(&settings.data_centre);
+        let mut ledger = Ledger::open(name, data_centre, incarnation, config);
+        ledger.inherit(started + SUCCEEDED_AFTER);
         Self {
-            ledger: RefCell::new(Ledger::open(name, data_centre, incarnation, config)),
+            ledger: RefCell::new(ledger),
             rates: RefCell::default(),
             posted: RefCell::default(),
             proven: Cell::default(),
@@ -135,7 +145,8 @@
     ) -> Result<(), Duration> {
         let name = &workspace.name;
         let known = self.refused.borrow().get(name).copied();
-        if let Some((_, retry_after)) = known.filter(|(until, _)| instance.now() < *until) {
+        let known = known.filter(|(until, _)| instance.now() < *until);
+        if let Some((_, retry_after)) = known.filter(|_| !instance.is_starting()) {
             return Err(retry_after);
         }
         let mut first = true;
@@ -154,6 +165,10 @@
             self.signal();
             match admission {
                 Admission::Run => return Ok(()),
+                // The lanes of a process that has just started are still empty.
+                Admission::Refused { .. } if instance.is_starting() && now + START_STEP < until => {
+                    tokio::time::sleep(START_STEP).await;
+                }
                 Admission::Refused { retry_after } => {
                     let until = now + retry_after.min(REFUSED_PAUSE);
                     let mut refused = self.refused.borrow_mut();
@@ -308,7 +323,7 @@
         let holds = view
             .shares()
             .is_some_and(|record| record.held(&name, self.instance.incarnation) > 0);
-        if holds || view.shares().is_none() {
+        if holds {
             RECORD_INTERVAL
         } else {
             LANELESS_INTERVAL
@@ -350,9 +365,22 @@
     async fn takes_turn(&self, live: &[Holder]) -> bool {
         let name = &self.instance.settings().name;
         let before = live.iter().take_while(|one| one.instance != *name).count();
+        let pause = STAGGER * u32::try_from(before).unwrap_or(u32::MAX);
+        self.unchanged_after(pause).await
+    }
+
+    /// Returns the pause before the lanes of an earlier incarnation are claimed, which spreads the
+    /// claims of a fleet that starts together.
+    fn claim_pause(&self, live: &[Holder]) -> Duration {
+        let claims = u32::try_from(live.len()).unwrap_or(u32::MAX);
+        CLAIM_STEP * rand::rng().random_range(0..=claims)
+    }
+
+    /// Waits, and tells whether the record stayed as it was.
+    async fn unchanged_after(&self, pause: Duration) -> bool {
         let epoch = || self.instance.view.borrow().shares().map(|one| one.epoch);
         let seen = epoch();
-        tokio::time::sleep(STAGGER * u32::try_from(before).unwrap_or(u32::MAX)).await;
+        tokio::time::sleep(pause).await;
         epoch() == seen
     }
 
@@ -368,7 +396,7 @@
                 (one.instance.as_ref(), one.incarnation, data_centre)
             })
             .collect();
-        self.swap(&Allocation::even(&instances), 0).await;
+        self.swap(Allocation::even(&instances), 0).await;
     }
 
     /// Passes lanes of dead holders on, and gives lanes away.
@@ -376,8 +404,14 @@
         let all_dead = !record.holders.iter().any(|one| live.contains(one));
         let is_dead = |one: &Holder| self.is_dead(now, one, live, all_dead);
         if let Some(next) = record.reclaimed(live, is_dead) {
-            if self.takes_turn(live).await {
-                self.swap(&next, self.revision()).await;
+            let has_own = record.holders.iter().any(|one| self.precedes(one));
+            let is_turn = if has_own {
+                self.unchanged_after(self.claim_pause(live)).await
+            } else {
+                self.takes_turn(live).await
+            };
+            if is_turn {
+                self.swap(next, self.revision()).await;
             }
             return;
         }
@@ -396,6 +430,9 @@
         let Some(since) = self.absent.get(&key) else {
             return false;
         };
+        if self.precedes(one) && !all_dead {
+            return now >= self.instance.clock.started() + SUCCEEDED_AFTER;
+        }
         let has_successor = live
             .iter()
             .any(|other| other.instance == one.instance && other.incarnation != one.incarnation);
@@ -408,6 +445,12 @@
         now.saturating_duration_since(*since) >= wait
     }
 
+    /// Tells whether this is an earlier incarnation of this instance.
+    fn precedes(&self, one: &Holder) -> bool {
+        let name = &self.instance.settings().name;
+        one.instance == *name && one.incarnation != self.instance.incarnation
+    }
+
     /// Gives lanes away: stops spending them, waits, then names the heirs.
     async fn give(&self, own: &Holder, slots: &[usize], live: &[Holder]) {
         let settling = {
@@ -425,7 +468,7 @@
         // A swap without an answer may still take effect, so the lanes rest until the record shows
         // who holds them; an unchanged record gives them back.
         let next = record.given(own, slots, live);
-        if !self.swap(&next, self.revision()).await {
+        if !self.swap(next, self.revision()).await {
             tokio::time::sleep(TENURE).await;
             let now = self.instance.now();
             self.instance
@@ -440,8 +483,8 @@
     }
 
     /// Replaces the record, and tells whether the store confirmed it.
-    async fn swap(&self, next: &Allocation, expected: u64) -> bool {
-        let value = match serde_json::to_vec(next) {
+    async fn swap(&self, next: Allocation, expected: u64) -> bool {
+        let value = match serde_json::to_vec(&next) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
                 warn!(self.instance.log, "record of shares can't be written"; "error" => %error);
@@ -458,6 +501,9 @@
             Ok(Swap::Done(revision)) => {
                 info!(self.instance.log, "record of shares written"; "epoch" => next.epoch,
                     "revision" => revision);
+                self.instance
+                    .quota
+                    .adopt(self.instance.now(), Some(&Arc::new(next)));
                 true
             }
             Ok(Swap::Conflict) => false,
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -29,9 +29,17 @@
 /// for what a process that has just started does not have yet.
 const MOVE_PATIENCE: f64 = 0.8;
 
-/// Longest wait for a part of the rate that another instance may lend; a round trip between the
-/// users' regions takes up to 40 ms.
-const RATE_PATIENCE: Duration = Duration::from_millis(50);
+/// Part of a route's objective for which an operation waits for a part of the rate; less than what it
+/// may wait unoffered.
+const RATE_DIVISOR: u32 = 5;
+
+/// Part of a route's timeout within which an operation waits for the rate of a process that has just
+/// started; the rest is left for the endpoint.
+const START_PATIENCE: f64 = 0.5;
+
+/// Longest wait for a part of the rate that other instances may lend; two round trips between the
+/// users' regions take up to 80 ms.
+const RATE_PATIENCE: Duration = Duration::from_millis(100);
 
 /// Longest wait for the first words of a caller.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(10);
@@ -360,9 +368,9 @@
         }
         // A process that has just started gets its part of the rates within a second.
         let until = if self.instance.is_starting() {
-            arrived + self.route.timeout.mul_f64(MOVE_PATIENCE)
+            arrived + self.route.timeout.mul_f64(START_PATIENCE)
         } else {
-            arrived + (self.route.objective / PATIENCE_DIVISOR).min(RATE_PATIENCE)
+            arrived + (self.route.objective / RATE_DIVISOR).min(RATE_PATIENCE)
         };
         let quota = &self.instance.quota;
         let admitted = quota.admit(&self.instance, &self.workspace, until).await;
