--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -100,6 +100,12 @@
         self.witnessed = self.witnessed.max(Some(at));
     }
 
+    /// Tells whether the word of other instances is about to be needed for the tenure to go on.
+    pub fn wants_witness(&self, now: Instant) -> bool {
+        let is_old = |at: Option<Instant>, age: Duration| at.is_none_or(|at| now >= at + age);
+        is_old(self.contact, SOLITARY / 2) && is_old(self.witnessed, WITNESSED / 4)
+    }
+
     /// Notes whether the store lists this instance, so that a change of primary waits for it.
     pub fn list(&mut self, is_listed: bool) {
         self.is_listed = is_listed;
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -369,13 +369,6 @@
         self.unchanged_after(pause).await
     }
 
-    /// Returns the pause before the lanes of an earlier incarnation are claimed, which spreads the
-    /// claims of a fleet that starts together.
-    fn claim_pause(&self, live: &[Holder]) -> Duration {
-        let claims = u32::try_from(live.len()).unwrap_or(u32::MAX);
-        CLAIM_STEP * rand::rng().random_range(0..=claims)
-    }
-
     /// Waits, and tells whether the record stayed as it was.
     async fn unchanged_after(&self, pause: Duration) -> bool {
         let epoch = || self.instance.view.borrow().shares().map(|one| one.epoch);
@@ -406,7 +399,7 @@
         if let Some(next) = record.reclaimed(live, is_dead) {
             let has_own = record.holders.iter().any(|one| self.precedes(one));
             let is_turn = if has_own {
-                self.unchanged_after(self.claim_pause(live)).await
+                self.unchanged_after(claim_pause(live)).await
             } else {
                 self.takes_turn(live).await
             };
@@ -514,3 +507,10 @@
         }
     }
 }
+
+/// Returns the pause before the lanes of an earlier incarnation are claimed, which spreads the claims
+/// of a fleet that starts together.
+fn claim_pause(live: &[Holder]) -> Duration {
+    let claims = u32::try_from(live.len()).unwrap_or(u32::MAX);
+    CLAIM_STEP * rand::rng().random_range(0..=claims)
+}
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -1,8 +1,8 @@
 //! Tasks that keep the view of the store fresh and this instance listed in it.
 //!
 //! One long watch sees every change. In a data centre with many instances a few of them watch, and the
-//! others follow one of these, so that calls to the store do not grow with the fleet. While the store does not answer, or turns this instance away,
-//! the view comes from another instance, with its age.
+//! others follow one of these, so that calls to the store do not grow with the fleet. While the store
+//! does not answer, or turns this instance away, the view comes from another instance, with its age.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +47,12 @@
 /// Pause after a failed call to the store; half of it is random.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
+/// Longest pause between two failed calls, while other instances tell what is new.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// Instances that are asked for their word beyond the half that is needed, as some may not answer.
+const SPARE_WITNESSES: usize = 2;
+
 /// Time to live of this instance's entry; as long as the permission to use primaries.
 const ENTRY_TTL: Duration = Duration::from_secs(10);
 
@@ -72,6 +78,7 @@
 /// Lists the store and then watches it.
 async fn follow(instance: Rc<Instance>) {
     let mut is_listed = false;
+    let mut pause = RETRY_PAUSE;
     loop {
         if is_listed && follow_watcher(&instance).await {
             continue;
@@ -85,12 +92,14 @@
         match outcome {
             Ok(listed) => {
                 is_listed = listed;
+                pause = RETRY_PAUSE;
                 note_store(&instance, None);
             }
             Err(error) => {
                 note_store(&instance, Some(&error));
                 pull(&instance).await;
-                tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+                tokio::time::sleep(jittered(pause)).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
     }
@@ -196,8 +205,18 @@
     let peers = some_peers(instance);
     // The first ones may bring a newer view, which the others then need not send again.
     let (first, rest) = peers.split_at(FIRST_ASKED.min(peers.len()));
-    let answered = ask_all(instance, first).await + ask_all(instance, rest).await;
-    if !peers.is_empty() && answered * 2 >= peers.len() {
+    let mut answered = ask_all(instance, first).await;
+    if peers.is_empty() || !instance.view.borrow().tenure.wants_witness(instance.now()) {
+        return;
+    }
+    let needed = peers.len().div_ceil(2);
+    let some = (needed.saturating_sub(answered) + SPARE_WITNESSES).min(rest.len());
+    let (near, far) = rest.split_at(some);
+    answered += ask_all(instance, near).await;
+    if answered < needed {
+        answered += ask_all(instance, far).await;
+    }
+    if answered >= needed {
         instance.view.borrow_mut().tenure.witness(asked);
     }
 }
@@ -233,7 +252,7 @@
     }
 }
 
-/// Returns the other instances, those of the own data centre first; seeds if none is known.
+/// Returns the other instances, the nearest first; seeds if none is known.
 fn some_peers(instance: &Instance) -> Vec<SocketAddr> {
     let settings = instance.settings();
     let view = instance.view.borrow();
@@ -243,7 +262,14 @@
         .filter(|(name, _)| **name != settings.name);
     let mut others: Vec<&Peer> = others.map(|(_, peer)| peer).collect();
     others.shuffle(&mut rand::rng());
-    others.sort_by_key(|peer| peer.data_centre != settings.data_centre);
+    let region = settings.data_centres.get(&settings.data_centre);
+    others.sort_by_key(|peer| {
+        let is_local = peer.data_centre == settings.data_centre;
+        (
+            !is_local,
+            settings.data_centres.get(&peer.data_centre) != region,
+        )
+    });
     let mut addresses: Vec<SocketAddr> = others.iter().map(|peer| peer.address).collect();
     if addresses.is_empty() {
         addresses.clone_from(&settings.seeds);
