Lend shares for 100 ms, so that restarted holders spend sooner

Change: loans of 100 ms with and without refill, the rest of a lane is worked out from them, and claims are spread over 200 ms at most.

--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -24,17 +24,14 @@
 use crate::store::{Change, Swap};
 use crate::view::SHARES_KEY;
 
-/// Length of a loan with refill; also the time for which the lanes of a restarted holder rest.
-const LOAN: Duration = Duration::from_millis(250);
+/// Length of a loan, two round trips between the users' regions. The lanes of a restarted holder rest
+/// for a little longer, during which nobody spends what they gain.
+const LOAN: Duration = Duration::from_millis(100);
 
 /// Time without proof after which an instance stops spending its lanes; shorter than the time after
 /// which those of an instance that left the list pass on.
 const FENCE: Duration = Duration::from_millis(9_500);
 
-/// Time after the start of a later incarnation before lanes of the earlier one pass on; longer than
-/// any loan that may rest on them.
-const SUCCEEDED_AFTER: Duration = Duration::from_millis(300);
-
 /// Time after a holder left the list before its lanes pass on; longer than a tenure.
 const RECLAIM_AFTER: Duration = Duration::from_secs(12);
 
@@ -62,6 +59,9 @@
 /// Time by which claims of lanes are spread for each instance; a write takes 5 to 45 ms.
 const CLAIM_STEP: Duration = Duration::from_millis(10);
 
+/// Longest pause before a claim, in a large fleet; one write claims for all that are due.
+const LONGEST_CLAIM_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time between two looks at the record while this instance holds no lanes.
 const LANELESS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -87,11 +87,11 @@
 impl Quota {
     /// Creates the rates of an instance that was started at `started` and holds no lanes yet.
     pub fn new(settings: &Settings, incarnation: u64, started: Instant) -> Self {
-        let config = Config::default().lease(LOAN).fence(FENCE);
+        let config = Config::default().lease(LOAN).escrow(LOAN).fence(FENCE);
         let name = Arc::clone(&settings.name);
         let data_centre = Arc::clone(&settings.data_centre);
         let mut ledger = Ledger::open(name, data_centre, incarnation, config);
-        ledger.inherit(started + SUCCEEDED_AFTER);
+        ledger.inherit(started + ledger.settling());
         Self {
             ledger: RefCell::new(ledger),
             rates: RefCell::default(),
@@ -424,7 +424,7 @@
             return false;
         };
         if self.precedes(one) && !all_dead {
-            return now >= self.instance.clock.started() + SUCCEEDED_AFTER;
+            return now >= self.instance.clock.started() + self.settling();
         }
         let has_successor = live
             .iter()
@@ -432,12 +432,17 @@
         // Loans of the dead rest with live holders only; where there are none, nothing is waited for.
         let wait = match (has_successor, all_dead) {
             (true, true) => Duration::ZERO,
-            (true, false) => SUCCEEDED_AFTER,
+            (true, false) => self.settling(),
             (false, _) => RECLAIM_AFTER,
         };
         now.saturating_duration_since(*since) >= wait
     }
 
+    /// Returns the time after the end of a process until no loan of its lanes stands.
+    fn settling(&self) -> Duration {
+        self.instance.quota.ledger.borrow().settling()
+    }
+
     /// Tells whether this is an earlier incarnation of this instance.
     fn precedes(&self, one: &Holder) -> bool {
         let name = &self.instance.settings().name;
@@ -446,14 +451,13 @@
 
     /// Gives lanes away: stops spending them, waits, then names the heirs.
     async fn give(&self, own: &Holder, slots: &[usize], live: &[Holder]) {
-        let settling = {
+        {
             let mut ledger = self.instance.quota.ledger.borrow_mut();
             for slot in slots {
                 ledger.release(*slot);
             }
-            ledger.settling()
-        };
-        tokio::time::sleep(settling).await;
+        }
+        tokio::time::sleep(self.settling()).await;
         let record = self.instance.view.borrow().shares().cloned();
         let Some(record) = record else {
             return;
@@ -512,5 +516,6 @@
 /// of a fleet that starts together.
 fn claim_pause(live: &[Holder]) -> Duration {
     let claims = u32::try_from(live.len()).unwrap_or(u32::MAX);
-    CLAIM_STEP * rand::rng().random_range(0..=claims)
+    let longest = (CLAIM_STEP * claims).min(LONGEST_CLAIM_PAUSE);
+    longest.mul_f64(rand::rng().random())
 }
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -23,7 +23,7 @@
 
 /// Longest wait of one watch. Its answer renews the tenure of an instance by itself, which is over
 /// twice as long.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Longest wait of a watch while the store was away the last time.
 const PROBE_WAIT: Duration = Duration::from_millis(200);
@@ -32,7 +32,7 @@
 const MANY: usize = 6;
 
 /// Instances of a larger data centre that watch the store.
-const WATCHERS: usize = 3;
+const WATCHERS: usize = 2;
 
 /// Longest wait at a watcher. With the age of the watcher's own contact, 3 s at most, it stays below the
 /// time for which an instance keeps primaries by itself.
