Claim lanes also when others claimed theirs meanwhile

Cause: in a fleet of 74 that starts together a claim was given up whenever another came first; the last lanes passed on 1.1 s after the start. Now the claim is worked out again from the newest record.

--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -365,15 +365,9 @@
     async fn takes_turn(&self, live: &[Holder]) -> bool {
         let name = &self.instance.settings().name;
         let before = live.iter().take_while(|one| one.instance != *name).count();
-        let pause = STAGGER * u32::try_from(before).unwrap_or(u32::MAX);
-        self.unchanged_after(pause).await
-    }
-
-    /// Waits, and tells whether the record stayed as it was.
-    async fn unchanged_after(&self, pause: Duration) -> bool {
         let epoch = || self.instance.view.borrow().shares().map(|one| one.epoch);
         let seen = epoch();
-        tokio::time::sleep(pause).await;
+        tokio::time::sleep(STAGGER * u32::try_from(before).unwrap_or(u32::MAX)).await;
         epoch() == seen
     }
 
@@ -394,16 +388,17 @@
 
     /// Passes lanes of dead holders on, and gives lanes away.
     async fn maintain(&self, now: Instant, record: &Allocation, live: &[Holder]) {
-        let all_dead = !record.holders.iter().any(|one| live.contains(one));
-        let is_dead = |one: &Holder| self.is_dead(now, one, live, all_dead);
-        if let Some(next) = record.reclaimed(live, is_dead) {
+        if self.reclaimed(now, record, live).is_some() {
             let has_own = record.holders.iter().any(|one| self.precedes(one));
-            let is_turn = if has_own {
-                self.unchanged_after(claim_pause(live)).await
-            } else {
-                self.takes_turn(live).await
-            };
-            if is_turn {
+            if has_own {
+                tokio::time::sleep(claim_pause(live)).await;
+            } else if !self.takes_turn(live).await {
+                return;
+            }
+            // Others may have claimed theirs meanwhile.
+            let record = self.instance.view.borrow().shares().cloned();
+            let now = self.instance.now();
+            if let Some(next) = record.and_then(|record| self.reclaimed(now, &record, live)) {
                 self.swap(next, self.revision()).await;
             }
             return;
@@ -418,6 +413,12 @@
         }
     }
 
+    /// Returns the record in which the lanes of dead holders pass on, if there are any.
+    fn reclaimed(&self, now: Instant, record: &Allocation, live: &[Holder]) -> Option<Allocation> {
+        let all_dead = !record.holders.iter().any(|one| live.contains(one));
+        record.reclaimed(live, |one| self.is_dead(now, one, live, all_dead))
+    }
+
     fn is_dead(&self, now: Instant, one: &Holder, live: &[Holder], all_dead: bool) -> bool {
         let key = (Arc::clone(&one.instance), one.incarnation);
         let Some(since) = self.absent.get(&key) else {
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -23,7 +23,7 @@
 
 /// Longest wait of one watch. Its answer renews the tenure of an instance by itself, which is over
 /// twice as long.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Longest wait of a watch while the store was away the last time.
 const PROBE_WAIT: Duration = Duration::from_millis(200);
