--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -24,9 +24,9 @@
 use crate::store::{Change, Swap};
 use crate::view::SHARES_KEY;
 
-/// Length of a loan, two round trips between the users' regions. The lanes of a restarted holder rest
+/// Length of a loan, four round trips between the users' regions. The lanes of a restarted holder rest
 /// for a little longer, during which nobody spends what they gain.
-const LOAN: Duration = Duration::from_millis(100);
+const LOAN: Duration = Duration::from_millis(160);
 
 /// Time without proof after which an instance stops spending its lanes; shorter than the time after
 /// which those of an instance that left the list pass on.
