Let PostgreSQL sessions drop what they prepared, and drop an unused field

Holder::attempt was written and never compared. Change: DEALLOCATE [PREPARE] NAME or ALL drops the session's own statements; an unknown name is told with 26000. PREPARE and EXECUTE in SQL stay refused. Tests: a_session_drops_what_it_prepared and dropped_statements_are_named, written with the change; the first fails before, as 0A000 was the answer.

--- a/crates/entry/src/succession/hold.rs
+++ b/crates/entry/src/succession/hold.rs
@@ -49,7 +49,6 @@
         let lease = store.open_lease(HOLD_TTL).await?;
         let holder = Holder {
             instance: Arc::clone(&self.instance.settings().name),
-            attempt: self.instance.incarnation,
         };
         let change = Change {
             key: HOLDER_KEY,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -54,8 +54,6 @@
 pub struct Holder {
     /// Name of the instance.
     pub instance: Arc<str>,
-    /// Number of the attempt, which tells late effects of earlier ones apart.
-    pub attempt: u64,
 }
 
 /// Record of a primary, with the revision at which it was written.
--- a/crates/filbertbay/src/caller/session/extended.rs
+++ b/crates/filbertbay/src/caller/session/extended.rs
@@ -149,6 +149,11 @@
         let tag = match &class {
             Some(Class::Acknowledged(tag)) => *tag,
             Some(Class::Staleness(_)) => "SET",
+            Some(Class::Deallocate(Some(name))) if !self.statements.contains_key(name) => {
+                return self.refuse(work, &unknown(name)).await;
+            }
+            Some(Class::Deallocate(Some(_))) => "DEALLOCATE",
+            Some(Class::Deallocate(None)) => "DEALLOCATE ALL",
             _ => "",
         };
         if work.cost > 0 {
@@ -180,6 +185,10 @@
                 self.staleness = None;
                 self.statements.clear();
             }
+            Some(Class::Deallocate(None)) => self.statements.clear(),
+            Some(Class::Deallocate(Some(name))) => {
+                self.statements.remove(name);
+            }
             _ => {}
         }
     }
--- a/crates/filbertbay/src/caller/work.rs
+++ b/crates/filbertbay/src/caller/work.rs
@@ -68,8 +68,12 @@
 
     /// Returns whether the proxy answers every statement itself.
     pub fn is_local(&self) -> bool {
-        let is_local =
-            |class: &Class| matches!(class, Class::Staleness(_) | Class::Acknowledged(_));
+        let is_local = |class: &Class| {
+            matches!(
+                class,
+                Class::Staleness(_) | Class::Acknowledged(_) | Class::Deallocate(_)
+            )
+        };
         let mut all = self.classes.iter().chain(&self.prepared).peekable();
         all.peek().is_some() && all.all(is_local)
     }
@@ -89,7 +93,9 @@
             .chain(&self.prepared)
             .find_map(|class| match class {
                 Class::Refused(reason) => Some(*reason),
-                Class::Staleness(_) | Class::Acknowledged(_) if !is_single => {
+                Class::Staleness(_) | Class::Acknowledged(_) | Class::Deallocate(_)
+                    if !is_single =>
+                {
                     Some("a setting of the proxy must be a statement of its own")
                 }
                 _ => None,
--- a/crates/filbertbay/tests/path.rs
+++ b/crates/filbertbay/tests/path.rs
@@ -439,3 +439,27 @@
         assert_eq!(row.get::<_, i64>(0), 0);
     }
 }
+
+/// psycopg 3 sends `DEALLOCATE ALL` after a rollback once it has prepared a statement.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_session_drops_what_it_prepared() {
+    let fixture = spawn(Options::default()).await;
+    let client = table(&fixture).await;
+    let select = "SELECT stock FROM lilies WHERE id = $1";
+    let first = client.prepare_typed(select, &[Type::INT8]).await.unwrap();
+    client.query(&first, &[&1_i64]).await.expect("read");
+    client.batch_execute("ROLLBACK").await.ok();
+    client
+        .batch_execute("DEALLOCATE ALL")
+        .await
+        .expect("dropped");
+    let error = client.query(&first, &[&1_i64]).await.unwrap_err();
+    assert_eq!(state(&error), "26000");
+    let second = client.prepare_typed(select, &[Type::INT8]).await.unwrap();
+    let error = client.batch_execute("DEALLOCATE nothing").await;
+    assert_eq!(state(&error.unwrap_err()), "26000");
+    client.query(&second, &[&1_i64]).await.expect("still there");
+    client.batch_execute("DISCARD ALL").await.expect("dropped");
+    let error = client.query(&second, &[&1_i64]).await.unwrap_err();
+    assert_eq!(state(&error), "26000");
+}
--- a/crates/protocol/src/sql.rs
+++ b/crates/protocol/src/sql.rs
@@ -52,6 +52,8 @@
     Staleness(Option<Duration>),
     /// Has no effect on a pooled connection; the proxy answers with this command tag.
     Acknowledged(&'static str),
+    /// Drops a statement that the session prepared, or all of them.
+    Deallocate(Option<Box<str>>),
     /// Can't run on a pooled connection.
     Refused(&'static str),
 }
@@ -90,7 +92,7 @@
         let alone = self.classes.len() == 1;
         self.classes.iter().find_map(|class| match class {
             Class::Refused(reason) => Some(*reason),
-            Class::Staleness(_) | Class::Acknowledged(_) if !alone => {
+            Class::Staleness(_) | Class::Acknowledged(_) | Class::Deallocate(_) if !alone => {
                 Some("a setting of the proxy must be a statement of its own")
             }
             _ => None,
@@ -212,7 +214,8 @@
         ("RESET", _) if !has("STALENESS") => Class::Acknowledged("RESET"),
         ("RESET", _) => Class::Staleness(None),
         ("COPY", _) => Class::Refused("COPY is not available through the proxy"),
-        ("PREPARE" | "EXECUTE" | "DEALLOCATE", _) => {
+        ("DEALLOCATE", _) => Class::Deallocate(deallocated(tokens)),
+        ("PREPARE" | "EXECUTE", _) => {
             Class::Refused("SQL-level prepared statements are not available on pooled connections")
         }
         ("LOAD", _) => Class::Refused("LOAD is not available on pooled connections"),
@@ -228,6 +231,19 @@
     Some(class)
 }
 
+/// Returns the name of the prepared statement that is dropped, none for all.
+fn deallocated(tokens: &[Token]) -> Option<Box<str>> {
+    let mut rest = tokens.iter().skip(1).peekable();
+    rest.next_if(|token| word(token).as_deref() == Some("PREPARE"));
+    match rest.next() {
+        Some(Token::Word(name)) if name.quote_style.is_some() => Some(name.value.as_str().into()),
+        Some(token) if word(token).as_deref() == Some("ALL") => None,
+        // Names without quotes are folded to lower case.
+        Some(token) => Some(word(token).unwrap_or_default().to_lowercase().into()),
+        None => Some("".into()),
+    }
+}
+
 const TEMPORARY: Class =
     Class::Refused("temporary objects are not available on pooled connections");
 
--- a/crates/protocol/tests/sql.rs
+++ b/crates/protocol/tests/sql.rs
@@ -149,6 +149,20 @@
     }
 }
 
+#[test]
+fn dropped_statements_are_named() {
+    let class = |text: &str| sql::classify(text).classes()[0].clone();
+    let named = |name: &str| Class::Deallocate(Some(name.into()));
+    assert_eq!(class("DEALLOCATE ALL"), Class::Deallocate(None));
+    assert_eq!(class("deallocate prepare all;"), Class::Deallocate(None));
+    assert_eq!(class("DEALLOCATE Orders"), named("orders"));
+    assert_eq!(class("DEALLOCATE PREPARE \"Orders\""), named("Orders"));
+    assert_eq!(class("DEALLOCATE \"all\""), named("all"));
+    assert_eq!(class("DEALLOCATE"), named(""));
+    let text = "DEALLOCATE ALL; SELECT 1";
+    assert!(sql::classify(text).refusal().is_some());
+}
+
 #[test]
 fn staleness_is_read() {
     let class = |text: &str| sql::classify(text).classes()[0].clone();
