--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -4,7 +4,7 @@
 //! over their links. Nothing here waits for the store: without it the record stays as it is.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +20,7 @@
 
 use crate::catalog::{Catalog, Workspace};
 use crate::instance::Instance;
+use crate::peer::CallError;
 use crate::settings::Settings;
 use crate::store::{Change, Swap};
 use crate::view::SHARES_KEY;
@@ -74,6 +75,8 @@
     proven: Cell<Option<Instant>>,
     /// Workspaces at their rate, and until when nothing is asked for them again.
     refused: RefCell<BTreeMap<Arc<str>, (Instant, Duration)>>,
+    /// Instances that left the last messages unanswered.
+    silent: RefCell<BTreeSet<Arc<str>>>,
     answered: Notify,
     outgoing: Notify,
 }
@@ -98,6 +101,7 @@
             posted: RefCell::default(),
             proven: Cell::default(),
             refused: RefCell::default(),
+            silent: RefCell::default(),
             answered: Notify::new(),
             outgoing: Notify::new(),
         }
@@ -275,7 +279,9 @@
         return;
     };
     let own = Arc::clone(&instance.settings().name);
-    if let Ok(answers) = instance.peers.share(address, own, messages).await {
+    let answers = instance.peers.share(address, own, messages).await;
+    note_answer(&instance, &to, answers.as_ref().err());
+    if let Ok(answers) = answers {
         let rest = instance.quota.receive(instance.now(), &to, &answers);
         instance
             .quota
@@ -289,6 +295,22 @@
     }
 }
 
+/// Logs when an instance stops to answer about shares, and when it answers again.
+fn note_answer(instance: &Instance, peer: &Arc<str>, error: Option<&CallError>) {
+    let mut silent = instance.quota.silent.borrow_mut();
+    silent.retain(|name| instance.view.borrow().peers().contains_key(name));
+    match error {
+        Some(error) if silent.insert(Arc::clone(peer)) => {
+            info!(instance.log, "shares of an instance lost"; "peer" => peer.as_ref(),
+                "error" => %error);
+        }
+        None if silent.remove(peer) => {
+            info!(instance.log, "shares of an instance reached"; "peer" => peer.as_ref());
+        }
+        _ => {}
+    }
+}
+
 /// Keeps the record of holders.
 struct Keeper {
     instance: Rc<Instance>,
