--- a/crates/coordination/tests/share.rs
+++ b/crates/coordination/tests/share.rs
@@ -497,3 +497,28 @@
     let much_later = later + Duration::from_secs(3);
     assert_eq!(asked(&mut ledger, much_later, 2).as_deref(), Some("a-1"));
 }
+
+/// Another instance may have held the lanes under a record that was missed, and have spent what they
+/// gained.
+#[test]
+fn lanes_start_empty_where_a_record_was_missed() {
+    let start = Instant::now();
+    let mut ledger = Ledger::open("a-0", "a", 2, Config::default());
+    ledger.extend(start);
+    ledger.inherit(start);
+    let earlier = Allocation::even(&[("a-0", 1, "a")]);
+    ledger.adopt(start, Arc::new(earlier.clone()));
+    let holder = |instance: &str, incarnation| Holder {
+        instance: instance.into(),
+        incarnation,
+        data_centre: "a".into(),
+    };
+    let (other, own) = (holder("a-1", 1), holder("a-0", 2));
+    let missed = earlier.reclaimed(std::slice::from_ref(&other), |one| *one != other);
+    let missed = missed.unwrap();
+    let next = missed.reclaimed(std::slice::from_ref(&own), |one| *one != own);
+    let now = start + Duration::from_secs(1);
+    ledger.adopt(now, Arc::new(next.unwrap()));
+    let rate = rates()[&name(0)];
+    assert_ne!(ledger.take(now, &name(0), rate, 1), Admission::Run);
+}
--- a/crates/filbertbay/tests/soak.rs
+++ b/crates/filbertbay/tests/soak.rs
@@ -47,6 +47,10 @@
 /// Seed of the short run.
 const SEED: u64 = 20_261_204;
 
+/// Seeds that failed once. These faults were of the soak: 1001 took a row of another session, which the
+/// route for own writes may show for 1.5 s, for stale; 3000 began on a port that a soak beside it had.
+const FAILED_ONCE: [u64; 2] = [1001, 3000];
+
 /// Everything in a run.
 struct Scene {
     world: World,
@@ -197,6 +201,14 @@
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
 
+#[test]
+fn promises_hold_for_seeds_that_failed_once() {
+    for seed in FAILED_ONCE {
+        let broken = soak(seed, SHORT);
+        assert!(broken.is_empty(), "seed {seed}: {}", broken.join("\n"));
+    }
+}
+
 #[test]
 #[ignore = "takes minutes; played by hand with fresh seeds"]
 fn promises_hold_for_many_seeds() {
--- a/crates/filbertbay/tests/soak/fleet.rs
+++ b/crates/filbertbay/tests/soak/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use serde_json::json;
 use tempfile::TempDir;
@@ -23,22 +24,18 @@
 /// Ports of each soak.
 const PORTS: u16 = 200;
 
-/// Ports below those that the kernel gives out, so that a port stays free while its process is down.
-struct Ports(u16);
-
-impl Ports {
-    /// Starts at a place that differs between soaks that run side by side.
-    fn of_process() -> Self {
-        Self(FIRST_PORT + (std::process::id() % SOAKS) as u16 * PORTS)
-    }
-
-    fn next(&mut self) -> SocketAddr {
-        loop {
-            self.0 += 1;
-            let address = SocketAddr::from(([127, 0, 0, 1], self.0));
-            if TcpListener::bind(address).is_ok() {
-                return address;
-            }
+/// Ports that this process has given out.
+static GIVEN: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a port below those that the kernel gives out, so that it stays free while its process is
+/// down. Soaks that run side by side, in one process or in several, get different ones.
+fn port() -> SocketAddr {
+    let first = FIRST_PORT + (std::process::id() % SOAKS) as u16 * PORTS;
+    loop {
+        let given = GIVEN.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], first + given));
+        if TcpListener::bind(address).is_ok() {
+            return address;
         }
     }
 }
@@ -71,20 +68,19 @@
 impl Fleet {
     /// Lays the instances out and starts them.
     pub async fn start(world: &World) -> Self {
-        let mut ports = Ports::of_process();
         let mut fleet = Self {
             nodes: Vec::new(),
             files: TempDir::new().unwrap(),
         };
         for (index, data_centre) in DATA_CENTRES.iter().enumerate() {
             let name = format!("{data_centre}-{index}");
-            let callers = ports.next();
+            let callers = port();
             let store = Proxy::bind(world.platform.address).await;
             let settings = json!({
                 "name": name, "data_centre": data_centre,
                 "data_centres": {"quimper": "bretagne", "nantes": "pays-loire"},
-                "callers": callers, "readiness": ports.next(), "readiness_path": "/ready",
-                "peers": ports.next(), "metrics": ports.next(), "seeds": [],
+                "callers": callers, "readiness": port(), "readiness_path": "/ready",
+                "peers": port(), "metrics": port(), "seeds": [],
                 "store": store.address, "failover": store.address,
                 "grace_s": 6, "leave_ms": 7000, "file_limit": 4200
             });
