Return borrowed tokens before their loan ends, and divide half of the tolerated slack over the lanes

An instance that had admitted one statement borrowed another token ahead, which stayed unused until its loan ended and was lost: each statement of a small rate cost two tokens. Besides, a burst of 8 is less than a token a lane, so a data centre's two lanes often had none.

Change: tokens are borrowed ahead only for half a token of demand in a lease, and go back 100 ms before the loan ends; lenders outside the data centre are asked in an order of each instance's own; the setting rate_slack, of which limiters grant half.

--- a/crates/coordination/src/share/account.rs
+++ b/crates/coordination/src/share/account.rs
@@ -37,6 +37,14 @@
 /// Shortest lease worth a message.
 const MIN_LEASE: Duration = Duration::from_millis(20);
 
+/// Remaining time of a loan below which unused tokens are returned. A return must reach the lender
+/// before the loan ends, and the periodic work that sends it runs every 50 ms at least.
+const RETURN_BEFORE_EXPIRY: Duration = Duration::from_millis(100);
+
+/// Divisor of a token that gives the least demand in a token lease for which tokens are borrowed
+/// ahead.
+const MIN_DEMAND_AHEAD_DIVISOR: u64 = 2;
+
 /// Longest time for which one refill is computed; a bucket is full long before.
 const MAX_REFILL_TIME: Duration = Duration::from_hours(1);
 
@@ -370,15 +378,17 @@
     }
 
     /// Adds or extends a loan that was granted for a request sent at `sent_at`; an expired one is
-    /// ignored.
+    /// ignored, and one out of range is bounded by the longest lease and the whole rate.
     pub(super) fn add_borrowed(
         &mut self,
         now: Instant,
         lender: &Arc<str>,
         grant: &LoanGrant,
         sent_at: Instant,
+        config: &Config,
     ) {
-        let expires = sent_at + grant.lease;
+        let longest = config.refill_lease.max(config.token_lease);
+        let expires = sent_at + grant.lease.min(longest);
         if expires <= now {
             return;
         }
@@ -391,12 +401,15 @@
             id: grant.loan,
             request_id: grant.request_id,
             peer: Arc::clone(lender),
-            capacity: grant.capacity,
-            refill: grant.refill,
+            capacity: grant.capacity.min(Fraction::ONE),
+            refill: grant.refill.min(Fraction::ONE),
             expires,
         });
         // If the burst was lowered meanwhile, the granted tokens may exceed the lent capacity.
-        let max_tokens = grant.capacity.of(self.burst_micro_tokens());
+        let max_tokens = grant
+            .capacity
+            .min(Fraction::ONE)
+            .of(self.burst_micro_tokens());
         self.tokens = self.tokens.saturating_add(grant.tokens.min(max_tokens));
         self.cap_tokens();
     }
@@ -416,12 +429,15 @@
     /// Ends borrowed loans without refill whose capacity is no longer used, and returns the
     /// messages to their lenders.
     ///
-    /// With `has_low_demand` the tokens left over are returned as well.
+    /// With `has_low_demand` the tokens left over are returned as well. So are those of a loan that
+    /// ends soon, as far as the demand will not use them before: they would be lost with the loan.
     pub(super) fn return_unused(
         &mut self,
+        now: Instant,
         workspace: &Arc<str>,
         has_low_demand: bool,
     ) -> Vec<(Arc<str>, LoanReturn)> {
+        let per_second = self.local.per_second(now);
         let mut returns = Vec::new();
         let mut index = 0;
         while index < self.borrowed.len() {
@@ -430,7 +446,10 @@
                 .capacity()
                 .saturating_sub(loan.capacity)
                 .of(self.burst_micro_tokens());
-            let unused = has_low_demand || self.tokens <= left;
+            let remaining = loan.expires.saturating_duration_since(now);
+            let ends_unused = remaining < RETURN_BEFORE_EXPIRY
+                && self.tokens > left.saturating_add(scale(per_second, remaining));
+            let unused = has_low_demand || self.tokens <= left || ends_unused;
             if loan.refill > Fraction::ZERO || !unused || self.backs_lent_loans(loan) {
                 index += 1;
                 continue;
@@ -454,6 +473,12 @@
         scale(self.local.per_second(now), config.token_lease) < MICRO_TOKENS_PER_TOKEN
     }
 
+    /// Returns whether a token that is borrowed ahead is likely enough to be used during its loan.
+    pub(super) fn has_demand_ahead(&mut self, now: Instant, config: &Config) -> bool {
+        let expected = scale(self.local.per_second(now), config.token_lease);
+        expected >= MICRO_TOKENS_PER_TOKEN / MIN_DEMAND_AHEAD_DIVISOR
+    }
+
     /// Returns whether lent loans depend on the capacity of the borrowed `loan`.
     fn backs_lent_loans(&self, loan: &Loan) -> bool {
         let lent: Fraction = self.lent.iter().map(|loan| loan.capacity).sum();
--- a/crates/coordination/src/share/allocation.rs
+++ b/crates/coordination/src/share/allocation.rs
@@ -82,6 +82,16 @@
         }
     }
 
+    /// Returns whether the record can be used: it has every lane, lists the holder of each, and its
+    /// epoch can grow.
+    pub fn is_valid(&self) -> bool {
+        let is_listed =
+            |lane: &Option<u16>| lane.is_none_or(|index| usize::from(index) < self.holders.len());
+        self.lanes.len() == SHARDS * LANES
+            && self.lanes.iter().all(is_listed)
+            && self.epoch < u64::MAX
+    }
+
     /// Returns the shard of a workspace, below [`SHARDS`].
     pub fn shard_of(workspace: &str) -> usize {
         (xxh3_64(workspace.as_bytes()) % SHARDS as u64) as usize
--- a/crates/coordination/src/share/config.rs
+++ b/crates/coordination/src/share/config.rs
@@ -26,6 +26,10 @@
     pub max_wait: Duration,
     /// Time since the last proof of ownership after which an instance stops spending its lanes.
     pub ownership_timeout: Duration,
+    /// Tokens beyond the burst of a workspace that all instances together may hold. The burst of a
+    /// small rate is less than one token a lane, so that without these its lanes refuse statements
+    /// while tokens are left elsewhere.
+    pub tolerance: u64,
 }
 
 impl Default for Config {
@@ -36,6 +40,7 @@
             request_timeout: Duration::from_millis(150),
             max_wait: Duration::from_millis(400),
             ownership_timeout: Duration::from_secs(8),
+            tolerance: 0,
         }
     }
 }
@@ -69,6 +74,13 @@
         self
     }
 
+    /// Sets the tokens beyond the burst of a workspace that all instances together may hold.
+    #[must_use]
+    pub fn tolerance(mut self, tolerance: u64) -> Self {
+        self.tolerance = tolerance;
+        self
+    }
+
     /// Sets the time since the last proof of ownership after which an instance stops spending its
     /// lanes.
     #[must_use]
--- a/crates/coordination/src/share/ledger.rs
+++ b/crates/coordination/src/share/ledger.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_state::document::Rate;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::account::{Bucket, Shortfall};
 use super::entry::{MAX_BACKOFF, PendingRequest, WorkspaceState};
@@ -307,12 +308,13 @@
         };
         let micro_tokens = cost.saturating_mul(MICRO_TOKENS_PER_TOKEN);
         let admitted = state.bucket.try_acquire(now, micro_tokens, first);
-        let low = !admitted || state.bucket.is_low(now);
+        let has_low_demand = state.bucket.has_low_demand(now, &self.config);
+        let has_demand_ahead = state.bucket.has_demand_ahead(now, &self.config);
+        let low = !admitted || (has_demand_ahead && state.bucket.is_low(now));
         if admitted && state.bucket.has_borrowed() {
-            let has_low_demand = state.bucket.has_low_demand(now, &self.config);
-            self.return_unused(workspace, has_low_demand);
+            self.return_unused(now, workspace, has_low_demand);
         }
-        if low && cost <= rate.burst {
+        if low && cost <= self.with_tolerance(rate).burst {
             self.request_loans(now, workspace, micro_tokens);
         }
         if admitted {
@@ -349,6 +351,7 @@
     /// Brings the bucket of a workspace up to `now`, creating it if needed, and expires its
     /// requests.
     fn refresh(&mut self, now: Instant, workspace: &Arc<str>, rate: Rate) {
+        let rate = self.with_tolerance(rate);
         let fenced = self.ownership_expires.is_none_or(|expires| now >= expires);
         if let Some(state) = self.workspaces.get_mut(workspace) {
             let owned = owned_fraction(&self.lane_counts, state.shard, fenced);
@@ -370,6 +373,17 @@
         self.workspaces.insert(Arc::clone(workspace), state);
     }
 
+    /// Returns the rate with the tolerance added to its burst; a rate of zero stays zero.
+    fn with_tolerance(&self, rate: Rate) -> Rate {
+        if rate.per_second == 0 {
+            return rate;
+        }
+        Rate {
+            burst: rate.burst.saturating_add(self.config.tolerance),
+            ..rate
+        }
+    }
+
     /// Requests loans from as many lenders as the shortfall needs, less the requests that are
     /// already pending.
     fn request_loans(&mut self, now: Instant, workspace: &Arc<str>, micro_tokens: u64) {
@@ -457,7 +471,9 @@
             return false;
         };
         state.backoffs.retain(|backoff| backoff.peer != *from);
-        state.bucket.add_borrowed(now, from, grant, pending.sent_at);
+        state
+            .bucket
+            .add_borrowed(now, from, grant, pending.sent_at, &self.config);
         true
     }
 
@@ -478,11 +494,11 @@
         }
     }
 
-    fn return_unused(&mut self, workspace: &Arc<str>, has_low_demand: bool) {
+    fn return_unused(&mut self, now: Instant, workspace: &Arc<str>, has_low_demand: bool) {
         let Some(state) = self.workspaces.get_mut(workspace) else {
             return;
         };
-        for (peer, returned) in state.bucket.return_unused(workspace, has_low_demand) {
+        for (peer, returned) in state.bucket.return_unused(now, workspace, has_low_demand) {
             self.send(peer, Message::Return(returned));
         }
     }
@@ -498,7 +514,7 @@
             let shortfall = Shortfall::for_renewal(loan.refill);
             self.send_request(now, workspace, loan.peer, shortfall, Some(loan.id));
         }
-        self.return_unused(workspace, false);
+        self.return_unused(now, workspace, false);
     }
 
     fn deny_unknown_workspace(&mut self, from: &Arc<str>, message: &Message) {
@@ -567,7 +583,14 @@
             lenders.push(holder);
         }
     }
-    lenders.sort_by_key(|holder| holder.data_centre != *data_centre);
+    // Instances overflow to different holders, so that none of these is asked by all.
+    lenders.sort_by_cached_key(|holder| {
+        let is_remote = holder.data_centre != *data_centre;
+        (
+            is_remote,
+            xxh3_64(format!("{name}/{}", holder.instance).as_bytes()),
+        )
+    });
     let names: Vec<_> = lenders
         .iter()
         .map(|holder| Arc::clone(&holder.instance))
--- a/crates/coordination/tests/fleet/mod.rs
+++ b/crates/coordination/tests/fleet/mod.rs
@@ -21,7 +21,7 @@
 pub const MAX_MESSAGES: u64 = 2_000_000;
 
 /// Time between two ticks of an instance.
-pub const TICK: Duration = Duration::from_millis(100);
+pub const TICK: Duration = Duration::from_millis(50);
 
 /// Latency and faults of the links.
 #[derive(Clone, Copy, Debug)]
@@ -74,6 +74,8 @@
     pub refused: BTreeMap<Arc<str>, u64>,
     /// Number of messages sent.
     pub messages: u64,
+    /// Longest time for which a statement waits for tokens.
+    pub max_wait: Duration,
     config: Config,
     allocation: Arc<Allocation>,
     events: BinaryHeap<Reverse<(Instant, u64, usize, Event)>>,
@@ -106,6 +108,16 @@
     /// Starts `count` instances, the n-th in data centre `n % data_centres`, with equal numbers of
     /// lanes.
     pub fn new(count: usize, data_centres: usize, rates: &BTreeMap<Arc<str>, Rate>) -> Self {
+        Self::with_config(count, data_centres, rates, Config::default())
+    }
+
+    /// Like [`Fleet::new`], with the given options of the limiters.
+    pub fn with_config(
+        count: usize,
+        data_centres: usize,
+        rates: &BTreeMap<Arc<str>, Rate>,
+        config: Config,
+    ) -> Self {
         let names: Vec<String> = (0..count)
             .map(|index| format!("instance-{index}"))
             .collect();
@@ -122,7 +134,6 @@
         let holders: Vec<_> = (0..count).map(holder).collect();
         let allocation = Arc::new(Allocation::even(&holders));
         let now = Instant::now();
-        let config = Config::default();
         let node = |index: usize| Node {
             name: names[index].as_str().into(),
             data_centre: index % data_centres,
@@ -155,6 +166,7 @@
             admitted: BTreeMap::new(),
             refused: BTreeMap::new(),
             messages: 0,
+            max_wait: MAX_WAIT,
             config,
             allocation: Arc::clone(&allocation),
             events: BinaryHeap::new(),
@@ -425,7 +437,7 @@
             Some(Admission::Wait { timeout: wait })
                 if self.nodes[index].waiting.len() < MAX_WAITING =>
             {
-                let deadline = now + MAX_WAIT;
+                let deadline = now + self.max_wait;
                 self.nodes[index]
                     .waiting
                     .push((Arc::clone(workspace), deadline));
--- a/crates/coordination/tests/share.rs
+++ b/crates/coordination/tests/share.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::share::{Admission, Allocation, Config, Holder, LANES, RateLimiter};
+use filbertbay_coordination::share::{
+    Admission, Allocation, Config, Fraction, Holder, LANES, LoanGrant, Message, RateLimiter,
+};
 use filbertbay_state::document::Rate;
 use fleet::Fleet;
 use quickcheck::{Arbitrary, Gen};
@@ -544,3 +546,71 @@
         Admission::Admitted
     );
 }
+
+/// Returns a limiter that borrows from another instance, with the request that it sent.
+fn borrower(start: Instant) -> (RateLimiter, Arc<str>, u64) {
+    let allocation = Allocation::even(&[("lender", 1, "a")]);
+    let mut limiter = RateLimiter::new("borrower", "a", 1, Config::default());
+    limiter.apply_allocation(start, Arc::new(allocation));
+    limiter.confirm_ownership(start);
+    let shop: Arc<str> = "shop".into();
+    let admission = limiter.try_acquire(start, &shop, RATE_OF_SHOP, 1);
+    assert!(matches!(admission, Admission::Wait { .. }), "{admission:?}");
+    let sent = limiter.drain().next().unwrap().message;
+    let Message::Request(request) = sent else {
+        panic!("{sent:?} is not a request");
+    };
+    (limiter, shop, request.id)
+}
+
+const RATE_OF_SHOP: Rate = Rate {
+    per_second: 50,
+    burst: 20,
+};
+
+/// Guards against a message of another instance that ends the task which reads it: a lease that is too
+/// long for the clock, or fractions beyond the whole.
+#[test]
+fn a_grant_out_of_range_is_bounded() {
+    let start = Instant::now();
+    let (mut limiter, shop, request_id) = borrower(start);
+    let grant = Message::Grant(LoanGrant {
+        request_id,
+        loan: 7,
+        workspace: Arc::clone(&shop),
+        tokens: u64::MAX,
+        capacity: Fraction::from_lanes(usize::MAX >> 41),
+        refill: Fraction::from_lanes(usize::MAX >> 41),
+        lease: Duration::MAX,
+    });
+    let lender: Arc<str> = "lender".into();
+    limiter.handle_message(start, &lender, &grant, Some(RATE_OF_SHOP));
+    let mut admitted = 0;
+    while limiter.try_acquire(start, &shop, RATE_OF_SHOP, 1) == Admission::Admitted {
+        admitted += 1;
+        assert!(admitted <= RATE_OF_SHOP.burst, "more than the burst");
+    }
+    // The loan ends with the longest lease that this instance would grant itself.
+    let later = start + Duration::from_secs(60);
+    limiter.confirm_ownership(later);
+    limiter.tick(later, |_| Some(RATE_OF_SHOP));
+    let admission = limiter.try_acquire(later, &shop, RATE_OF_SHOP, 1);
+    assert_ne!(admission, Admission::Admitted);
+}
+
+/// Guards against a record that ends the task which maintains the lanes: lanes of holders that it does
+/// not list, too few lanes, or an epoch that can't grow.
+#[test]
+fn an_inconsistent_record_is_not_valid() {
+    let valid = Allocation::even(&[("quimper-1", 1, "quimper"), ("caen-1", 1, "caen")]);
+    assert!(valid.is_valid());
+    let mut unknown_holder = valid.clone();
+    unknown_holder.lanes[3] = Some(2);
+    assert!(!unknown_holder.is_valid());
+    let mut short = valid.clone();
+    short.lanes.pop();
+    assert!(!short.is_valid());
+    let mut last_epoch = valid.clone();
+    last_epoch.epoch = u64::MAX;
+    assert!(!last_epoch.is_valid());
+}
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -38,6 +38,10 @@
 /// lease.
 const RECLAIM_DELAY: Duration = Duration::from_secs(12);
 
+/// The part of [`Settings::rate_slack`] that rate limiters grant is one divided by this. The rest
+/// covers reads that are sent to a second endpoint, and statements that reach theirs late.
+const RATE_SLACK_DIVISOR: u64 = 2;
+
 /// Longest time for which a workspace at its rate limit is refused without new loan requests. Its
 /// lanes keep gaining tokens meanwhile.
 const MAX_REFUSAL_CACHE_TIME: Duration = Duration::from_millis(60);
@@ -47,7 +51,7 @@
 const STARTUP_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval of the rate limiter's periodic work.
-const TICK_INTERVAL: Duration = Duration::from_millis(200);
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval at which the allocation is checked.
 const ALLOCATION_INTERVAL: Duration = Duration::from_millis(700);
@@ -98,7 +102,8 @@
         let config = Config::default()
             .refill_lease(LOAN_DURATION)
             .token_lease(LOAN_DURATION)
-            .ownership_timeout(OWNERSHIP_TIMEOUT);
+            .ownership_timeout(OWNERSHIP_TIMEOUT)
+            .tolerance(settings.rate_slack / RATE_SLACK_DIVISOR);
         let name = Arc::clone(&settings.name);
         let data_centre = Arc::clone(&settings.data_centre);
         let mut limiter = RateLimiter::new(name, data_centre, incarnation, config);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -65,6 +65,10 @@
     pub leave_ms: u64,
     /// Limit on open file descriptors of the process.
     pub file_limit: usize,
+    /// Statements of one workspace beyond its rate and burst that operators tolerate over all
+    /// instances, at any time.
+    #[serde(default)]
+    pub rate_slack: u64,
 }
 
 /// Error of reading or checking settings.
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -257,7 +257,10 @@
             return Ok(Some(Change::PromotionLock));
         }
         if key == ALLOCATION_KEY {
-            let allocation = serde_json::from_slice(&item.value).map_err(unreadable)?;
+            let allocation: Allocation = serde_json::from_slice(&item.value).map_err(unreadable)?;
+            if !allocation.is_valid() {
+                return Err("the record of lane holders is inconsistent".to_owned());
+            }
             self.allocation = Some(Arc::new(allocation));
             return Ok(Some(Change::Allocation));
         }
