--- a/crates/coordination/src/share.rs
+++ b/crates/coordination/src/share.rs
@@ -50,11 +50,13 @@
 mod config;
 mod entry;
 mod fraction;
+mod lane;
 mod ledger;
 mod loan;
 mod message;
 mod meter;
 mod plan;
+mod shortfall;
 
 pub use self::allocation::{Allocation, Holder, LANES, SHARDS};
 pub use self::config::Config;
