Catch two breaks of shares that no test caught

The third break, a borrower that keeps capacity after a return, still has none. The first test looks a millisecond later, as the lent fraction is rounded up by a millionth of a token.

--- a/crates/coordination/tests/share.rs
+++ b/crates/coordination/tests/share.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::share::{
-    Admission, Allocation, Config, Fraction, Holder, LANES, LoanDenial, LoanGrant, Message,
-    RateLimiter,
+    Admission, Allocation, Config, Fraction, Holder, LANES, LoanDenial, LoanGrant, LoanRequest,
+    LoanReturn, MICRO_TOKENS_PER_TOKEN, Message, RateLimiter,
 };
 use filbertbay_state::document::Rate;
 use fleet::Fleet;
@@ -641,3 +641,71 @@
     assert!(matches!(admission, Admission::Wait { .. }), "{admission:?}");
     assert!(limiter.has_messages());
 }
+
+/// Returns a limiter that holds all lanes, with its full burst at the returned time.
+fn holder(start: Instant) -> (RateLimiter, Arc<str>, Instant) {
+    let allocation = Allocation::even(&[("lender", 1, "a")]);
+    let mut limiter = RateLimiter::new("lender", "a", 1, Config::default());
+    limiter.apply_allocation(start, Arc::new(allocation));
+    let full_at = start + Duration::from_secs(2);
+    limiter.confirm_ownership(full_at);
+    (limiter, "shop".into(), full_at)
+}
+
+/// Returns how many statements are admitted at once.
+fn admitted_at_once(limiter: &mut RateLimiter, now: Instant, shop: &Arc<str>, rate: Rate) -> u64 {
+    let admitted = (0..100).take_while(|_| {
+        let admission = limiter.try_acquire(now, shop, rate, 1);
+        admission == Admission::Admitted
+    });
+    admitted.count() as u64
+}
+
+/// Guards against a lender that keeps a returned loan on its books, and so holds less than its burst until
+/// the loan would have ended.
+#[test]
+fn a_returned_loan_restores_the_burst_of_its_lender() {
+    let (mut limiter, shop, now) = holder(Instant::now());
+    let borrower: Arc<str> = "borrower".into();
+    let request = Message::Request(LoanRequest {
+        id: 1,
+        workspace: Arc::clone(&shop),
+        tokens: 3 * MICRO_TOKENS_PER_TOKEN,
+        min_tokens: MICRO_TOKENS_PER_TOKEN,
+        refill: Fraction::ZERO,
+        renews: None,
+    });
+    limiter.handle_message(now, &borrower, &request, Some(RATE_OF_SHOP));
+    let granted = limiter.drain().next().unwrap().message;
+    let Message::Grant(grant) = granted else {
+        panic!("{granted:?} is not a grant");
+    };
+    assert_eq!(grant.tokens, 3 * MICRO_TOKENS_PER_TOKEN);
+    let returned = Message::Return(LoanReturn {
+        loan: grant.loan,
+        workspace: Arc::clone(&shop),
+        tokens: grant.tokens,
+    });
+    limiter.handle_message(now, &borrower, &returned, Some(RATE_OF_SHOP));
+    // Rounding of the lent fraction costs less than what a millisecond gains.
+    let later = now + Duration::from_millis(1);
+    let admitted = admitted_at_once(&mut limiter, later, &shop, RATE_OF_SHOP);
+    assert_eq!(admitted, RATE_OF_SHOP.burst);
+}
+
+/// Guards against refill at the old rate for the time between the last use of a bucket and the first one
+/// after a patch lowered the rate.
+#[test]
+fn a_lowered_rate_applies_to_the_time_since_the_last_refill() {
+    let (mut limiter, shop, now) = holder(Instant::now());
+    let admitted = admitted_at_once(&mut limiter, now, &shop, RATE_OF_SHOP);
+    assert_eq!(admitted, RATE_OF_SHOP.burst);
+    let lowered = Rate {
+        per_second: 5,
+        ..RATE_OF_SHOP
+    };
+    let later = now + Duration::from_secs(1);
+    limiter.confirm_ownership(later);
+    let admitted = admitted_at_once(&mut limiter, later, &shop, lowered);
+    assert_eq!(admitted, lowered.per_second);
+}
