Count a drain from the last contact where it began without one

Change: a change that is seen after more than 2.5 s without contact may be as old as that contact, and a drain counts from then. Test: a_drain_that_began_without_contact_counts_from_the_last_contact. Also: an instance that knows peers with a newer view pulls it from a random one of them, not from the newest, which all chose.

--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -34,6 +34,10 @@
 /// Key of the allocation of rate limit lanes to instances.
 pub const ALLOCATION_KEY: &str = "filbertbay/shares";
 
+/// Age of the contact with the store up to which a change counts from when it is seen. The margin at
+/// the end of a drain period covers this age.
+const MAX_USUAL_CONTACT_AGE: Duration = Duration::from_millis(2_500);
+
 /// Time for which an endpoint whose entry was removed is still used. Entries that expired while the
 /// store was unavailable are written again about two seconds after its return.
 const GONE_ENDPOINT_RETENTION: Duration = Duration::from_millis(2_300);
@@ -221,7 +225,9 @@
         if old.is_some_and(|old| old.gone_since.is_none() && *old.endpoint == endpoint) {
             return Ok(None);
         }
-        let since = old.and_then(|old| old.draining_since).unwrap_or(now);
+        let since = old
+            .and_then(|old| old.draining_since)
+            .unwrap_or_else(|| self.earliest_change(now));
         let draining_since = endpoint.is_draining.then_some(since);
         let entry = EndpointEntry {
             endpoint: Rc::new(endpoint),
@@ -232,6 +238,16 @@
         Ok(Some(Change::Endpoint(id)))
     }
 
+    /// Returns the time since which a change that is seen at `now` may have been in force. After a
+    /// while without contact it may be as old as the last contact.
+    fn earliest_change(&self, now: Instant) -> Instant {
+        let age = self.primary_lease.contact_age(now).unwrap_or_default();
+        if age < MAX_USUAL_CONTACT_AGE {
+            return now;
+        }
+        now.checked_sub(age).unwrap_or(now)
+    }
+
     /// Decodes and stores a value that instances write.
     fn put_instance_key(&mut self, item: &Item) -> Result<Option<Change>, String> {
         let unreadable = |error: serde_json::Error| error.to_string();
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -15,7 +15,7 @@
 use futures::FutureExt;
 use futures::future::{LocalBoxFuture, join_all};
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use slog::{debug, info, warn};
 
 use crate::instance::Instance;
@@ -281,7 +281,7 @@
 }
 
 /// Queries peers for the newest revision that they know, and returns how many know none above that of
-/// this instance. If one does, its view is pulled first, from this peer alone.
+/// this instance. If some do, the view of one of them is pulled first.
 async fn confirm(instance: &Rc<Instance>, peers: &[SocketAddr]) -> usize {
     let queried_at = instance.now();
     let replies = peers
@@ -292,10 +292,14 @@
     let answered: Vec<(SocketAddr, ViewSnapshot)> = answered
         .filter_map(|(peer, reply)| Some((*peer, reply.ok()??)))
         .collect();
-    let newest = answered.iter().max_by_key(|(_, reply)| reply.revision);
-    if let Some((peer, reply)) = newest
-        && reply.revision > instance.view.borrow().newest_revision()
-    {
+    let known = instance.view.borrow().newest_revision();
+    let newer: Vec<SocketAddr> = answered
+        .iter()
+        .filter(|(_, reply)| reply.revision > known)
+        .map(|(peer, _)| *peer)
+        .collect();
+    // If all chose the newest, one instance would have to send its view to the whole fleet.
+    if let Some(peer) = newer.choose(&mut rand::rng()) {
         pull_views(instance, &[*peer]).await;
     }
     let known = instance.view.borrow().newest_revision();
