--- a/review/standin/member.rs
+++ b/review/standin/member.rs
@@ -334,6 +334,10 @@
         let words: Vec<&str> = text.split(' ').collect();
         let works = matches!(words[0], "READ" | "WRITE" | "EXECUTE" | "COMMIT" | "STATUS");
         if works && !self.take_slot(index) {
+            if words[0] == "STATUS" {
+                self.record
+                    .line(&format!("member {index} answers BUSY to a STATUS"));
+            }
             return Some(self.refusal(index, session, "BUSY"));
         }
         let began = Instant::now();
