--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -24,7 +24,8 @@
     let folder = PathBuf::from(folder);
     let outcome = match case.as_str() {
         "stop" => stop::run(&folder, has_trouble),
-        "sync" => sync::run(&folder, has_trouble),
+        "sync" => sync::run(&folder, has_trouble, sync::Other::Busy),
+        "drain" => sync::run(&folder, has_trouble, sync::Other::Draining),
         _ => Err(format!("no case {case:?}")),
     };
     match outcome {
--- a/review/standin/member.rs
+++ b/review/standin/member.rs
@@ -43,6 +43,8 @@
     is_up: bool,
     /// Receives nothing from the primary.
     is_deaf: bool,
+    /// Reports that it drains; it goes on serving and receiving.
+    is_draining: bool,
     is_primary: bool,
     term: u64,
     log: Vec<Entry>,
@@ -109,6 +111,7 @@
                 address: listener.local_addr().unwrap(),
                 is_up: true,
                 is_deaf: false,
+                is_draining: false,
                 is_primary: index == 0,
                 term: 1,
                 log: Vec::new(),
@@ -161,9 +164,14 @@
         } else {
             "replica"
         };
+        let state = if member.is_draining {
+            "draining"
+        } else {
+            "ready"
+        };
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","cold_ms":0,"db_role":"{role}","seq":{},"born":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","cold_ms":0,"db_role":"{role}","seq":{},"born":{}}}"#,
             self.name,
             member.address,
             member.zone,
@@ -235,8 +243,14 @@
         self.record.line(&format!("member {id} {what}"));
     }
 
-    pub fn log(&self, index: usize) -> Vec<Entry> {
-        self.state.lock().unwrap()[index].log.clone()
+    /// Lets a member report that it drains.
+    pub fn drain(&self, index: usize) {
+        let mut members = self.state.lock().unwrap();
+        members[index].is_draining = true;
+        let id = members[index].id.clone();
+        drop(members);
+        self.record.line(&format!("member {id} reports draining"));
+        self.report(index);
     }
 
     fn connection(&self, index: usize, stream: TcpStream) {
