--- a/review/standin/member.rs
+++ b/review/standin/member.rs
@@ -419,7 +419,10 @@
                 session.is_read_only = words.get(1).is_some();
                 session.writes.clear();
             }
-            "ROLLBACK" => session.is_open = false,
+            "ROLLBACK" => {
+                session.is_open = false;
+                session.writes.clear();
+            }
             "RESET" | "SET" | "PREPARE" | "DEALLOCATE" => {}
             "READ" => {
                 rows.push(members[index].read(words.get(1).unwrap_or(&"")));
