Close the sessions of a draining instance together with an answer

Cause: a draining instance closed a session only after 250 ms without a statement, so a session with shorter pauses stayed open until the process ended, a second before SIGKILL.

Change: coordination::drain::Schedule holds all deadlines of a shutdown. From 2.6 s on a session is closed together with its next answer, which the caller sees before it sends anything else. Statements that can't end before the exit are refused as not run, and one that still runs then is answered as of unknown outcome. The deadlines follow the grace period. The line `stopped` counts unanswered statements apart from sessions.

The PostgreSQL sessions end without a minimum pause and were not affected.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod authority;
 pub mod contact;
+pub mod drain;
 pub mod freshness;
 pub mod limit;
 pub mod membership;
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -217,4 +217,7 @@
 
     /// Returns whether part of a statement has been received.
     fn has_input(&self) -> bool;
+
+    /// Ends the output, and discards input until the caller closes the connection.
+    async fn close(&mut self) -> std::io::Result<()>;
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use filbertbay_coordination::drain::Schedule;
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,13 +16,6 @@
 use crate::settings::Settings;
 use crate::{freshness, health, peer, quota, succession, watcher};
 
-/// Margin by which the process exits before the SIGKILL that ends the grace period.
-const SHUTDOWN_MARGIN: Duration = Duration::from_secs(1);
-
-/// Time after SIGTERM during which new callers are still accepted, because the load balancer needs
-/// two health checks to notice.
-const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_secs(3);
-
 /// Interval at which the number of open sessions is polled during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -216,20 +210,23 @@
     let grace = instance.settings().grace();
     info!(instance.log, "stopping"; "sessions" => session_count(session_tokens),
         "grace_ms" => grace.as_millis() as u64);
-    instance.phase.send_replace(Phase::Draining(started_at));
-    let deadline = started_at + grace.saturating_sub(SHUTDOWN_MARGIN);
-    while instance.now() < (started_at + ACCEPT_AFTER_SIGTERM).min(deadline) {
+    let schedule = Schedule::new(started_at, grace);
+    instance.phase.send_replace(Phase::Draining(schedule));
+    while instance.now() < schedule.accept_until() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     // A caller accepted after this point would be disconnected by the exit of the process.
     accept_task.abort();
     let _ = accept_task.await;
-    while session_count(session_tokens) > 0 && instance.now() < deadline {
+    while session_count(session_tokens) > 0 && instance.now() < schedule.exit_at() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let open_sessions = session_count(session_tokens);
-    let withdrawn = tokio::time::timeout(SHUTDOWN_MARGIN / 2, watcher::withdraw(instance)).await;
-    info!(instance.log, "stopped"; "sessions_cut" => open_sessions, "withdrawn" => withdrawn.is_ok(),
+    let unanswered = instance.unanswered_statements.get();
+    let withdrawal = watcher::withdraw(instance);
+    let withdrawn = tokio::time::timeout(schedule.exit_time(), withdrawal).await;
+    info!(instance.log, "stopped"; "sessions_cut" => open_sessions, "statements_cut" => unanswered,
+        "withdrawn" => withdrawn.is_ok(),
         "took_ms" => instance.now().saturating_duration_since(started_at).as_millis() as u64);
 }
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::drain::Schedule;
 use filbertbay_state::position::Position;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
@@ -49,8 +50,8 @@
 pub enum Phase {
     /// Serves callers.
     Serving,
-    /// Shuts down; the drain began at the given time.
-    Draining(Instant),
+    /// Shuts down by the given deadlines.
+    Draining(Schedule),
 }
 
 /// Clients of the external systems, implemented by adapters.
@@ -118,6 +119,8 @@
     pub phase: watch::Sender<Phase>,
     /// Whether the last call to the store succeeded.
     pub is_store_reachable: Cell<bool>,
+    /// Statements of callers that were received and not answered yet.
+    pub unanswered_statements: Cell<usize>,
     primary_uses: RefCell<BTreeMap<Arc<str>, Rc<UseCount>>>,
 }
 
@@ -146,6 +149,7 @@
             primary_suspected: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             is_store_reachable: Cell::new(false),
+            unanswered_statements: Cell::new(0),
             watermarks: Watermarks::default(),
             primary_uses: RefCell::default(),
         })
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -5,6 +5,7 @@
 //! first statement, so that another endpoint can be tried if that statement does not run.
 
 mod attempt;
+mod shutdown;
 mod transaction;
 
 use std::collections::BTreeMap;
@@ -16,13 +17,14 @@
 use slog::{Logger, debug, info};
 
 use self::attempt::{EndpointReply, PendingStatement};
+use self::shutdown::UnansweredStatement;
 use self::transaction::Transaction;
 use crate::caller::{
     Answer, Caller, Code, Command, Refusal, StartupRequest, Statement, TransactionState,
 };
 use crate::catalog::{Catalog, Route, Workspace};
 use crate::endpoint::Access;
-use crate::instance::{Instance, Phase};
+use crate::instance::Instance;
 
 /// A statement that no endpoint has received waits at most the route's latency objective divided by
 /// this.
@@ -50,13 +52,8 @@
 /// Longest wait for the first configuration. Callers give up on a session after 2 s.
 const CATALOG_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time from SIGTERM until idle sessions are closed. By then the load balancer has stopped sending
-/// callers to this instance.
-const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_600);
-
-/// Time without a statement before a draining instance closes a session, so that a caller that was
-/// just answered or accepted can send its next statement.
-const MIN_IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(250);
+/// Longest time for which a draining instance reads what the caller of a closed session still sends.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Session values that one session may keep, and prepared statements likewise.
 const MAX_SESSION_ITEMS: usize = 256;
@@ -122,6 +119,7 @@
                 debug!(session.log, "session failed"; "error" => %error);
             }
             session.close();
+            session.close_caller().await;
         }
         Ok(Err(refusal)) => {
             info!(instance.log, "session refused"; "code" => %refusal.code, "reason" => &*refusal.text);
@@ -195,10 +193,12 @@
                 return Err(EndReason::Closed);
             };
             let arrived = self.instance.now();
-            let (answer, stays_open) = self.handle(&statement, arrived).await;
+            let unanswered = UnansweredStatement::new(&self.instance);
+            let (answer, stays_open) = self.handle_before_exit(&statement, arrived).await;
             self.report(&statement, arrived, &answer);
             self.caller.answer(&answer).await?;
-            if !stays_open {
+            drop(unanswered);
+            if !stays_open || self.closes_after(&statement) {
                 return Err(EndReason::Closed);
             }
         }
@@ -232,19 +232,6 @@
         }
     }
 
-    /// Returns when a draining instance closes this session if no statement arrives before then.
-    fn close_at(&self, waiting_since: Instant) -> Option<Instant> {
-        let phase = *self.instance.phase.borrow();
-        match phase {
-            Phase::Serving => None,
-            Phase::Draining(since) if self.transaction.is_none() => {
-                let idle_enough_at = waiting_since + MIN_IDLE_BEFORE_CLOSE;
-                Some(idle_enough_at.max(since + IDLE_CLOSE_DELAY))
-            }
-            Phase::Draining(since) => Some(since + self.instance.settings().grace() / 2),
-        }
-    }
-
     /// Rolls back a transaction that has been idle for too long or whose primary is being replaced.
     fn end_idle_transaction(&mut self) {
         let now = self.instance.now();
