Promote only on answers that cover every acknowledged commit

Cause: a reply without a status row was taken for no answer, so the busy member was no candidate and was not asked again. And the successor was chosen among whoever answered: the number of replicas that must have received a commit before it is acknowledged was not decoded.

Change: succession::successor promotes only if so many members answered that one of them has every acknowledged commit, or if the successor has all that the previous primary had. A BUSY reply counts with the position that it names. Too few answers fail the change, which is tried again. Without synchronous replicas a busy member is asked again for at most 1.2 s. The same reply made a busy primary count as unreachable, and kept it from being demoted in a planned change; both are mended with it.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -31,11 +31,12 @@
 //! assert!(barrier.is_complete(now));
 //! ```
 
+pub mod successor;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_state::position::Position;
 use serde::{Deserialize, Serialize};
 
 /// Longest time since the last contact with the store for which an instance may use a primary.
@@ -197,32 +198,6 @@
     }
 }
 
-/// Member that may become the primary.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Candidate {
-    /// Identifier of the member.
-    pub id: Arc<str>,
-    /// Last position that the member has received.
-    pub received: Position,
-    /// Whether the member is neither draining nor in an evacuated data centre.
-    pub is_available: bool,
-    /// Whether the member is in the data centre of the old primary.
-    pub is_same_data_centre: bool,
-}
-
-/// Returns the next primary: available members first, then by highest position, then by the data
-/// centre of the old primary. Returns `None` without candidates.
-pub fn choose_successor(candidates: &[Candidate]) -> Option<&Candidate> {
-    let rank = |candidate: &&Candidate| {
-        (
-            candidate.is_available,
-            candidate.received,
-            candidate.is_same_data_centre,
-        )
-    };
-    candidates.iter().max_by_key(rank)
-}
-
 /// Passive failure detector of one endpoint, fed by the results of regular requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FailureDetector {
--- a/crates/coordination/tests/succession.rs
+++ b/crates/coordination/tests/succession.rs
@@ -9,10 +9,8 @@
 
 use check::runner;
 use filbertbay_coordination::succession::{
-    BASE_PRIMARY_LEASE, Candidate, FailureDetector, MAX_PRIMARY_LEASE, PrimaryLease,
-    ReleaseBarrier, choose_successor,
+    BASE_PRIMARY_LEASE, FailureDetector, MAX_PRIMARY_LEASE, PrimaryLease, ReleaseBarrier,
 };
-use filbertbay_state::position::{Position, Term};
 use quickcheck::{Arbitrary, Gen};
 
 const STEP: Duration = Duration::from_millis(100);
@@ -204,24 +202,6 @@
     assert!(!delayed.is_complete(start) && delayed.is_complete(start + STEP));
 }
 
-#[test]
-fn the_successor_is_available_and_has_the_highest_position() {
-    let candidate = |id: &str, index, is_available, is_same_data_centre| Candidate {
-        id: id.into(),
-        received: Position::new(Term(1), index),
-        is_available,
-        is_same_data_centre,
-    };
-    let all = [
-        candidate("leaving", 9, false, true),
-        candidate("far", 8, true, false),
-        candidate("near", 8, true, true),
-        candidate("behind", 7, true, true),
-    ];
-    assert_eq!(choose_successor(&all).unwrap().id.as_ref(), "near");
-    assert_eq!(choose_successor(&[]), None);
-}
-
 #[test]
 fn a_single_failure_raises_no_suspicion() {
     let start = Instant::now();
--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -43,6 +43,8 @@
 pub struct Service {
     /// Connections that one endpoint accepts from all instances together.
     pub max_connections: usize,
+    /// Replicas that have received a commit before it is acknowledged; zero if none must.
+    pub synchronous_replicas: usize,
 }
 
 /// Tenant that owns caller keys and a rate.
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -9,9 +9,10 @@
 
 mod evidence;
 mod hold;
+mod selection;
 
+use self::evidence::status;
 pub use self::evidence::{check_reachability, wait_until_released};
-use self::evidence::{query, status};
 use self::hold::PromotionLock;
 
 use std::cell::RefCell;
@@ -23,14 +24,13 @@
 use bytes::Bytes;
 use filbertbay_coordination::rendezvous;
 use filbertbay_coordination::succession::{
-    BASE_PRIMARY_LEASE, Candidate, Phase, PrimaryRecord, ReleaseBarrier, choose_successor,
+    BASE_PRIMARY_LEASE, Phase, PrimaryRecord, ReleaseBarrier,
 };
-use filbertbay_state::position::Position;
 use filbertbay_state::status::Role;
 use futures::future::join_all;
 use slog::{info, warn};
 
-use crate::endpoint::{Endpoint, Request, RequestKind, Status};
+use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::peer::CallError;
 use crate::store::{ConditionalWrite, Error, ErrorKind, Item, Promotion, WriteOutcome};
@@ -52,9 +52,6 @@
 /// Time for which a service may be without a known primary before one is promoted.
 const LEADERLESS_DELAY: Duration = Duration::from_millis(2_500);
 
-/// Longest wait for a replica to catch up with the position of the previous primary.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// Interval between two rounds of requests to instances or members during a change.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -298,9 +295,7 @@
             view.endpoint(id).cloned()
         });
         let last = self.demote(previous.as_ref(), reason).await;
-        let next = self
-            .select_successor(service, previous.as_ref(), last)
-            .await?;
+        let next = self.select_successor(service, from.as_ref(), last).await?;
         self.promote(service, &next, lock).await?;
         let record = PrimaryRecord {
             phase: Phase::Leading(Arc::clone(&next.id)),
@@ -439,80 +434,6 @@
         }
     }
 
-    /// Demotes the previous primary to a replica if it answers, and returns its last known position.
-    async fn demote(&self, previous: Option<&Rc<Endpoint>>, reason: Reason) -> Option<Position> {
-        let endpoint = previous?;
-        let before = match status(&self.instance, endpoint).await {
-            Some(status) => status,
-            None if reason.is_planned() => status(&self.instance, endpoint).await?,
-            None => return None,
-        };
-        let request = Request::internal(RequestKind::Demote(before.term.next()));
-        let after = query(&self.instance, endpoint, &request).await;
-        info!(self.instance.log, "former primary demoted"; "endpoint" => endpoint.id.as_ref(),
-            "term" => before.term.0, "answered" => after.is_some(),
-            "position" => after.map(|status| status.received.to_string()));
-        Some(after.unwrap_or(before).received)
-    }
-
-    /// Returns the successor: the best candidate, as soon as it has received `previous_position`,
-    /// the last known position of the previous primary, or after [`CATCH_UP_TIMEOUT`].
-    async fn select_successor(
-        &self,
-        service: &str,
-        previous: Option<&Rc<Endpoint>>,
-        previous_position: Option<Position>,
-    ) -> Result<Rc<Endpoint>, &'static str> {
-        let deadline = self.instance.now() + CATCH_UP_TIMEOUT;
-        loop {
-            let members: Vec<Rc<Endpoint>> = {
-                let view = self.instance.view.borrow();
-                view.endpoints(service).cloned().collect()
-            };
-            let requests = members.iter().map(|member| status(&self.instance, member));
-            let answers = join_all(requests).await;
-            let candidates: Vec<Candidate> = members
-                .iter()
-                .zip(&answers)
-                .filter_map(|(member, status)| Some(self.candidate(member, previous, (*status)?)))
-                .collect();
-            let best = choose_successor(&candidates).cloned();
-            let is_caught_up = best.as_ref().is_some_and(|best| {
-                previous_position.is_none_or(|position| best.received >= position)
-            });
-            if is_caught_up || self.instance.now() >= deadline {
-                let best = best.ok_or("no member answers the status query")?;
-                info!(self.instance.log, "heir chosen"; "service" => service,
-                    "endpoint" => best.id.as_ref(), "received" => %best.received,
-                    "former_position" => previous_position.map(|position| position.to_string()),
-                    "candidates" => candidates.len());
-                let found = members.into_iter().find(|member| member.id == best.id);
-                return found.ok_or("the successor is no longer listed");
-            }
-            if !self.renew_lock().await {
-                return Err("the promotion lock was lost while a successor was selected");
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    fn candidate(
-        &self,
-        member: &Endpoint,
-        previous: Option<&Rc<Endpoint>>,
-        status: Status,
-    ) -> Candidate {
-        let view = self.instance.view.borrow();
-        let is_evacuated = view.is_evacuated(&member.data_centre);
-        Candidate {
-            id: Arc::clone(&member.id),
-            received: status.received,
-            is_available: !member.is_draining && !is_evacuated && !view.is_gone(&member.id),
-            is_same_data_centre: previous
-                .is_some_and(|previous| previous.data_centre == member.data_centre),
-        }
-    }
-
     /// Orders the promotion and waits until the member is primary.
     async fn promote(
         &self,
@@ -556,6 +477,7 @@
                 .is_err()
                 && status(&self.instance, next)
                     .await
+                    .status()
                     .is_some_and(|status| status.role == Role::Primary)
             {
                 return Ok(());
--- a/crates/entry/src/succession/evidence.rs
+++ b/crates/entry/src/succession/evidence.rs
@@ -5,13 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filbertbay_state::position::Position;
 use futures::future::join_all;
 use slog::info;
 
 use super::Coordinator;
+use crate::caller::Code;
 use crate::endpoint::{Endpoint, Request, RequestKind, Status};
 use crate::instance::Instance;
 use crate::peer::Reach;
+use crate::pool::AcquireError;
 
 /// Timeout of a status query.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
@@ -62,44 +65,82 @@
         return Reach::Answers;
     }
     match status(instance, &endpoint).await {
-        Some(_) => Reach::Answers,
-        None => Reach::Silent,
+        Answer::Status(_) | Answer::Busy(_) => Reach::Answers,
+        Answer::Silent => Reach::Silent,
     }
 }
 
-/// Queries the status of a member; `None` if it did not answer in time.
-pub(super) async fn status(instance: &Rc<Instance>, endpoint: &Rc<Endpoint>) -> Option<Status> {
+/// Answer of a member to a request of the instance itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Answer {
+    /// The member stated its status.
+    Status(Status),
+    /// The member runs but is too busy to answer; the position is one that its log has reached.
+    Busy(Option<Position>),
+    /// There was no answer in time, or none that states a status.
+    Silent,
+}
+
+impl Answer {
+    /// Returns the status, if the member stated it.
+    pub(super) fn status(self) -> Option<Status> {
+        match self {
+            Self::Status(status) => Some(status),
+            Self::Busy(_) | Self::Silent => None,
+        }
+    }
+}
+
+/// Queries the status of a member.
+pub(super) async fn status(instance: &Rc<Instance>, endpoint: &Rc<Endpoint>) -> Answer {
     let request = Request::internal(RequestKind::Status);
     query(instance, endpoint, &request).await
 }
 
-/// Sends a request of the instance itself to a member, and returns the status row of the reply; `None`
-/// if there was none in time.
+/// Sends a request of the instance itself to a member, whose reply holds a status row.
 pub(super) async fn query(
     instance: &Rc<Instance>,
     endpoint: &Rc<Endpoint>,
     request: &Request<'_>,
-) -> Option<Status> {
+) -> Answer {
     let endpoint_pool = instance.pool.for_endpoint(endpoint);
-    let workspace = instance.catalog()?.workspaces.keys().next().cloned()?;
+    let workspace = instance
+        .catalog()
+        .and_then(|catalog| catalog.workspaces.keys().next().cloned());
+    let Some(workspace) = workspace else {
+        return Answer::Silent;
+    };
     metrics::counter!("filbertbay_status_questions_total").increment(1);
     let exchange = async {
-        let mut connection = instance
-            .pool
-            .acquire_any(&endpoint_pool, &workspace)
-            .await
-            .ok()?;
-        let reply = connection.run(request).await.ok()?;
+        let mut connection = match instance.pool.acquire_any(&endpoint_pool, &workspace).await {
+            Ok(connection) => connection,
+            // The member runs, but accepts no connection.
+            Err(AcquireError::Refused(Code::TooManyConnections | Code::Busy)) => {
+                return Answer::Busy(None);
+            }
+            Err(_) => return Answer::Silent,
+        };
+        let Ok(reply) = connection.run(request).await else {
+            return Answer::Silent;
+        };
         endpoint_pool.record_answer(instance.now());
         let status = instance.drivers.connector.parse_status(&reply);
         connection.release();
-        status
+        match (status, &reply.result) {
+            (Some(status), _) => Answer::Status(status),
+            (None, Err(refusal)) if refusal.code == Code::Busy => Answer::Busy(reply.position),
+            (None, result) => {
+                info!(instance.log, "reply without a status"; "endpoint" => endpoint.id.as_ref(),
+                    "code" => result.as_ref().err().map(|refusal| refusal.code.to_string()));
+                Answer::Silent
+            }
+        }
     };
     let outcome = tokio::time::timeout(STATUS_TIMEOUT, exchange).await;
     if outcome.is_err() {
         endpoint_pool.record_failure(instance.now());
     }
-    outcome.ok().flatten()
+    outcome.unwrap_or(Answer::Silent)
 }
 
 impl Coordinator {
--- /dev/null
+++ b/crates/entry/src/succession/selection.rs
@@ -0,0 +1,162 @@
+//! Demotes the previous primary and selects the member that replaces it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertbay_coordination::succession::successor::{self, Candidate, Requirement};
+use filbertbay_state::position::Position;
+use futures::future::join_all;
+use slog::{info, warn};
+
+use super::evidence::{Answer, query, status};
+use super::{Coordinator, POLL_INTERVAL, Reason};
+use crate::endpoint::{Endpoint, Request, RequestKind, Status};
+
+/// Longest wait for a replica to catch up with the position of the previous primary, and for a busy
+/// member to state its status.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+impl Coordinator {
+    /// Demotes the previous primary to a replica if it answers, and returns its last known position.
+    pub(super) async fn demote(
+        &self,
+        previous: Option<&Rc<Endpoint>>,
+        reason: Reason,
+    ) -> Option<Position> {
+        let endpoint = previous?;
+        let before = self.status_of_previous(endpoint, reason).await?;
+        let request = Request::internal(RequestKind::Demote(before.term.next()));
+        let after = query(&self.instance, endpoint, &request).await.status();
+        info!(self.instance.log, "former primary demoted"; "endpoint" => endpoint.id.as_ref(),
+            "term" => before.term.0, "answered" => after.is_some(),
+            "position" => after.map(|status| status.received.to_string()));
+        Some(after.unwrap_or(before).received)
+    }
+
+    /// Returns the status of the previous primary. Asks again while it is busy, and once more if it is
+    /// silent in a planned change.
+    async fn status_of_previous(&self, endpoint: &Rc<Endpoint>, reason: Reason) -> Option<Status> {
+        let deadline = self.instance.now() + CATCH_UP_TIMEOUT;
+        let mut may_be_silent = reason.is_planned();
+        loop {
+            match status(&self.instance, endpoint).await {
+                Answer::Status(status) => return Some(status),
+                Answer::Busy(_) if self.instance.now() < deadline => {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+                Answer::Silent if may_be_silent => may_be_silent = false,
+                Answer::Busy(_) | Answer::Silent => return None,
+            }
+        }
+    }
+
+    /// Returns the successor among the members that answer. `from` is the previous primary, and
+    /// `previous_position` its last known position. Asks again for at most [`CATCH_UP_TIMEOUT`].
+    pub(super) async fn select_successor(
+        &self,
+        service: &str,
+        from: Option<&Arc<str>>,
+        previous_position: Option<Position>,
+    ) -> Result<Rc<Endpoint>, &'static str> {
+        let deadline = self.instance.now() + CATCH_UP_TIMEOUT;
+        loop {
+            let members: Vec<Rc<Endpoint>> = {
+                let view = self.instance.view.borrow();
+                view.endpoints(service).cloned().collect()
+            };
+            let requests = members.iter().map(|member| status(&self.instance, member));
+            let answers = join_all(requests).await;
+            let candidates: Vec<Candidate> = members
+                .iter()
+                .zip(&answers)
+                .filter_map(|(member, answer)| self.candidate(&members, member, from, *answer))
+                .collect();
+            let requirement = self.requirement(service, &members, from, previous_position);
+            let is_last_round = self.instance.now() >= deadline;
+            match successor::choose(&candidates, &requirement, is_last_round) {
+                Ok(best) => {
+                    info!(self.instance.log, "heir chosen"; "service" => service,
+                        "endpoint" => best.id.as_ref(), "received" => %best.received,
+                        "former_position" => previous_position.map(|position| position.to_string()),
+                        "candidates" => candidates.len(), "members" => requirement.members,
+                        "answers" => describe(&members, &answers));
+                    let found = members.iter().find(|member| member.id == best.id);
+                    return found.cloned().ok_or("the successor is no longer listed");
+                }
+                Err(shortfall) if is_last_round => {
+                    warn!(self.instance.log, "no successor chosen"; "service" => service,
+                        "problem" => %shortfall, "members" => requirement.members,
+                        "synchronous_replicas" => requirement.synchronous_replicas,
+                        "answers" => describe(&members, &answers));
+                    return Err(shortfall.into());
+                }
+                Err(_) => {}
+            }
+            if !self.renew_lock().await {
+                return Err("the promotion lock was lost while a successor was selected");
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn requirement(
+        &self,
+        service: &str,
+        members: &[Rc<Endpoint>],
+        from: Option<&Arc<str>>,
+        previous_position: Option<Position>,
+    ) -> Requirement {
+        // An unknown or unlisted primary is a member as well.
+        let is_listed = from.is_some_and(|from| members.iter().any(|member| member.id == *from));
+        let catalog = self.instance.catalog();
+        let service = catalog.and_then(|catalog| catalog.services.get(service).copied());
+        Requirement {
+            members: members.len() + usize::from(!is_listed),
+            synchronous_replicas: service.map_or(0, |service| service.synchronous_replicas),
+            previous_position,
+        }
+    }
+
+    /// Returns a member as a candidate; `None` if it named no position.
+    fn candidate(
+        &self,
+        members: &[Rc<Endpoint>],
+        member: &Endpoint,
+        from: Option<&Arc<str>>,
+        answer: Answer,
+    ) -> Option<Candidate> {
+        let (received, is_exact) = match answer {
+            Answer::Status(status) => (status.received, true),
+            Answer::Busy(position) => (position?, false),
+            Answer::Silent => return None,
+        };
+        let previous = members.iter().find(|other| Some(&other.id) == from);
+        let view = self.instance.view.borrow();
+        let is_evacuated = view.is_evacuated(&member.data_centre);
+        Some(Candidate {
+            id: Arc::clone(&member.id),
+            received,
+            is_exact,
+            is_available: !member.is_draining && !is_evacuated && !view.is_gone(&member.id),
+            is_same_data_centre: previous
+                .is_some_and(|previous| previous.data_centre == member.data_centre),
+            is_previous: from == Some(&member.id),
+        })
+    }
+}
+
+/// Describes the members' answers for the log.
+fn describe(members: &[Rc<Endpoint>], answers: &[Answer]) -> String {
+    let described = members.iter().zip(answers).map(|(member, answer)| {
+        let id = &member.id;
+        match answer {
+            Answer::Status(status) => format!("{id} {} {}", status.role, status.received),
+            Answer::Busy(Some(position)) => format!("{id} busy {position}"),
+            Answer::Busy(None) => format!("{id} busy"),
+            Answer::Silent => format!("{id} silent"),
+        }
+    });
+    let described: Vec<String> = described.collect();
+    described.join(", ")
+}
