Rank the received position first where replicas are synchronous

Cause: the rank of a successor put available members before those with a higher position. A draining member goes on receiving and counts for the acknowledgement of commits.

Change: with synchronous replicas the position goes first and availability decides among equals; an available member may catch up first if the previous primary is known. A planned change begins only once an available member has what the primary has, since the service would else be without a primary for nothing, again and again. Without synchronous replicas the rank stays.

--- a/crates/coordination/src/succession/successor.rs
+++ b/crates/coordination/src/succession/successor.rs
@@ -78,13 +78,16 @@
     /// A busy member may have received more than the best one.
     #[strum(serialize = "a busy member may have received more")]
     Undecided,
-    /// The best member may still catch up with the previous primary.
+    /// The best member, or an available one, may still catch up with the previous primary.
     #[strum(serialize = "the successor has not caught up with the previous primary")]
     Behind,
 }
 
-/// Returns the next primary: available members first, then by highest position, then by the data centre
-/// of the previous primary.
+/// Returns the next primary.
+///
+/// With synchronous replicas, that is the member with the highest position, since a member that drains
+/// may be the only one with acknowledged commits; among equals an available one, then one in the data
+/// centre of the previous primary. Without them, available members come first.
 ///
 /// In the last round, [`Shortfall::Undecided`] and [`Shortfall::Behind`] no longer prevent the choice.
 ///
@@ -96,8 +99,10 @@
     requirement: &Requirement,
     is_last_round: bool,
 ) -> Result<&'a Candidate, Shortfall> {
+    let demands_proof = requirement.synchronous_replicas > 0;
     let rank = |candidate: &&Candidate| {
         (
+            demands_proof.then_some(candidate.received),
             candidate.is_available,
             candidate.received,
             candidate.is_same_data_centre,
@@ -105,7 +110,6 @@
     };
     let best = candidates.iter().max_by_key(rank);
     let best = best.ok_or(Shortfall::NoAnswer)?;
-    let demands_proof = requirement.synchronous_replicas > 0;
     if demands_proof && !requirement.is_every_commit_known(candidates, best) {
         return Err(Shortfall::TooFewAnswers);
     }
@@ -123,7 +127,8 @@
             Ok(best)
         };
     };
-    if best.received < previous_position {
+    let has_available = candidates.iter().any(|candidate| candidate.is_available);
+    if best.received < previous_position || (has_available && !best.is_available) {
         return Err(Shortfall::Behind);
     }
     Ok(best)
--- a/crates/coordination/tests/successor.rs
+++ b/crates/coordination/tests/successor.rs
@@ -1,7 +1,9 @@
 //! Properties of the choice of a successor.
 
+use check::runner;
 use filbertbay_coordination::succession::successor::{Candidate, Requirement, Shortfall, choose};
 use filbertbay_state::position::{Position, Term};
+use quickcheck::{Arbitrary, Gen};
 
 fn position(index: u64) -> Position {
     Position::new(Term(1), index)
@@ -126,3 +128,105 @@
     assert_eq!(choice(&behind, &known), Err(Shortfall::Behind));
     assert!(choose(&behind, &known, true).is_ok());
 }
+
+/// Guards against an available member being promoted in place of a draining one that alone has
+/// acknowledged commits.
+#[test]
+fn a_draining_member_with_acknowledged_commits_goes_before_an_available_one() {
+    let answers = [candidate("deaf", 4), draining("leaving", 9)];
+    assert_eq!(choice(&answers, &requirement(1)), Ok("leaving".to_owned()));
+    assert_eq!(choice(&answers, &requirement(0)), Ok("deaf".to_owned()));
+    let equal = [candidate("staying", 9), draining("leaving", 9)];
+    assert_eq!(choice(&equal, &requirement(1)), Ok("staying".to_owned()));
+}
+
+/// Guards against a planned change that promotes a draining member although an available one is about
+/// to catch up.
+#[test]
+fn an_available_member_may_catch_up_with_a_draining_one() {
+    let known = Requirement {
+        previous_position: Some(position(9)),
+        ..requirement(1)
+    };
+    let answers = [candidate("behind", 8), draining("leaving", 9)];
+    assert_eq!(choice(&answers, &known), Err(Shortfall::Behind));
+    let last = choose(&answers, &known, true).unwrap();
+    assert_eq!(last.id.as_ref(), "leaving");
+}
+
+/// Members of a service with their positions, the commits that each has received, and which of them
+/// answer a status query.
+#[derive(Clone, Debug)]
+struct Service {
+    synchronous_replicas: usize,
+    acknowledged: u64,
+    received: Vec<u64>,
+    answers: Vec<Option<bool>>,
+    is_draining: Vec<bool>,
+}
+
+impl Arbitrary for Service {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let replicas = 2 + usize::arbitrary(g) % 4;
+        let synchronous_replicas = 1 + usize::arbitrary(g) % replicas;
+        let mut received: Vec<u64> = (0..replicas).map(|_| u64::arbitrary(g) % 50).collect();
+        let mut sorted = received.clone();
+        sorted.sort_unstable_by(|one, other| other.cmp(one));
+        // The newest commit that so many replicas have received.
+        let acknowledged = sorted[synchronous_replicas - 1];
+        received.insert(0, sorted[0]);
+        let answer = |g: &mut Gen| match u8::arbitrary(g) % 4 {
+            0 => None,
+            1 => Some(false),
+            _ => Some(true),
+        };
+        let mut answers: Vec<Option<bool>> = (0..=replicas).map(|_| answer(g)).collect();
+        if u8::arbitrary(g) < 200 {
+            answers[0] = None;
+        }
+        Self {
+            synchronous_replicas,
+            acknowledged,
+            received,
+            answers,
+            is_draining: (0..=replicas).map(|_| bool::arbitrary(g)).collect(),
+        }
+    }
+}
+
+/// Guards against the loss of a commit that was acknowledged once some replicas had received it: the
+/// promoted member lacked it, whichever members were silent, busy or draining.
+#[test]
+fn a_promoted_member_has_every_acknowledged_commit() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn property(service: Service) -> bool {
+        let members = service.received.iter().zip(&service.answers);
+        let candidates: Vec<Candidate> = members
+            .enumerate()
+            .filter_map(|(index, (received, answer))| {
+                let is_exact = (*answer)?;
+                let known = if is_exact { *received } else { received / 2 };
+                Some(Candidate {
+                    is_exact,
+                    is_available: !service.is_draining[index],
+                    is_previous: index == 0,
+                    ..candidate(&format!("i-{index}"), known)
+                })
+            })
+            .collect();
+        let requirement = Requirement {
+            members: service.received.len(),
+            synchronous_replicas: service.synchronous_replicas,
+            previous_position: (service.answers[0] == Some(true))
+                .then(|| position(service.received[0])),
+        };
+        [false, true].into_iter().all(|is_last_round| {
+            let chosen = choose(&candidates, &requirement, is_last_round);
+            chosen.map_or(true, |best| {
+                let index: usize = best.id[2..].parse().unwrap();
+                service.received[index] >= service.acknowledged
+            })
+        })
+    }
+    runner(60).quickcheck(property as fn(Service) -> bool);
+}
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -241,6 +241,9 @@
         if reason == Reason::Silent && !self.is_unresponsive_for_all(service).await {
             return false;
         }
+        if reason.is_planned() && !self.can_switch_over(service).await {
+            return false;
+        }
         let lock = match self.acquire_lock().await {
             Ok(Some(lock)) => lock,
             Ok(None) => return false,
--- a/crates/entry/src/succession/selection.rs
+++ b/crates/entry/src/succession/selection.rs
@@ -7,7 +7,7 @@
 use filbertbay_coordination::succession::successor::{self, Candidate, Requirement};
 use filbertbay_state::position::Position;
 use futures::future::join_all;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use super::evidence::{Answer, query, status};
 use super::{Coordinator, POLL_INTERVAL, Reason};
@@ -18,6 +18,54 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 impl Coordinator {
+    /// Returns whether a planned change of primary would lose no acknowledged commit: an available member
+    /// has received what the primary has, or the primary does not answer. Always true for a service
+    /// without synchronous replicas.
+    ///
+    /// Checked before the change begins, because the service has no primary during a change.
+    pub(super) async fn can_switch_over(&self, service: &str) -> bool {
+        if self.synchronous_replicas(service) == 0 {
+            return true;
+        }
+        let (members, primary) = {
+            let view = self.instance.view.borrow();
+            let members: Vec<Rc<Endpoint>> = view.endpoints(service).cloned().collect();
+            (members, view.primary(service))
+        };
+        let primary = members
+            .iter()
+            .find(|member| Some(&member.id) == primary.as_ref());
+        let Some(primary) = primary else {
+            return true;
+        };
+        let position = match status(&self.instance, primary).await {
+            Answer::Status(status) => status.received,
+            Answer::Busy(_) => return false,
+            Answer::Silent => return true,
+        };
+        // Asked after the primary, so that a member which receives without delay has as much.
+        let others = members.iter().filter(|member| member.id != primary.id);
+        let others: Vec<&Rc<Endpoint>> = others.collect();
+        let answers = join_all(others.iter().map(|member| status(&self.instance, member))).await;
+        let mut candidates = others
+            .iter()
+            .zip(&answers)
+            .filter_map(|(member, answer)| self.candidate(&members, member, None, *answer));
+        let can_switch_over =
+            candidates.any(|candidate| candidate.is_available && candidate.received >= position);
+        if !can_switch_over {
+            debug!(self.instance.log, "planned change waits for a successor"; "service" => service,
+                "primary" => primary.id.as_ref(), "position" => %position);
+        }
+        can_switch_over
+    }
+
+    fn synchronous_replicas(&self, service: &str) -> usize {
+        let catalog = self.instance.catalog();
+        let service = catalog.and_then(|catalog| catalog.services.get(service).copied());
+        service.map_or(0, |service| service.synchronous_replicas)
+    }
+
     /// Demotes the previous primary to a replica if it answers, and returns its last known position.
     pub(super) async fn demote(
         &self,
@@ -109,11 +157,9 @@
     ) -> Requirement {
         // An unknown or unlisted primary is a member as well.
         let is_listed = from.is_some_and(|from| members.iter().any(|member| member.id == *from));
-        let catalog = self.instance.catalog();
-        let service = catalog.and_then(|catalog| catalog.services.get(service).copied());
         Requirement {
             members: members.len() + usize::from(!is_listed),
-            synchronous_replicas: service.map_or(0, |service| service.synchronous_replicas),
+            synchronous_replicas: self.synchronous_replicas(service),
             previous_position,
         }
     }
