Let transactions that begin during a drain commit

Cause: sessions with an open transaction were closed at half of the grace period. Open at the signal, a transaction has that long; one that began later had as little as nothing.

Change: transactions begin until half of the grace period and end by the last answers, a second before SIGKILL. One that is open then is rolled back, and the caller gets ABORTED before the close.

--- a/crates/coordination/src/drain.rs
+++ b/crates/coordination/src/drain.rs
@@ -8,9 +8,11 @@
 //! 2. From [`Schedule::close_from`] on, a session is closed together with the answer to its last
 //!    statement, or once it has been idle for a while. A session that never pauses is therefore
 //!    closed as well, at a moment at which it has no statement outstanding.
-//! 3. Transactions end by [`Schedule::transactions_until`].
+//! 3. Transactions begin until [`Schedule::begin_until`], which leaves them the rest of the time to
+//!    commit.
 //! 4. A statement that can't be expected to end by [`Schedule::answers_until`] is refused without
-//!    being run. One that runs until then gets an answer that leaves its outcome open.
+//!    being run. One that runs until then gets an answer that leaves its outcome open, and a
+//!    transaction that is open then is rolled back.
 //! 5. The process ends at [`Schedule::exit_at`].
 //!
 //! # Examples
@@ -72,12 +74,12 @@
         self.started_at + MAX_CLOSE_DELAY.min(self.grace / 2)
     }
 
-    /// Returns the time by which open transactions must have ended.
-    pub fn transactions_until(&self) -> Instant {
+    /// Returns the time until which transactions may begin.
+    pub fn begin_until(&self) -> Instant {
         self.started_at + self.grace / 2
     }
 
-    /// Returns the time by which every statement is answered.
+    /// Returns the time by which every statement is answered and every transaction has ended.
     pub fn answers_until(&self) -> Instant {
         self.started_at + self.grace.saturating_sub(self.final_time())
     }
@@ -115,6 +117,6 @@
 
     /// Returns true if a transaction may begin at `now`.
     pub fn can_begin(&self, now: Instant) -> bool {
-        now < self.transactions_until()
+        now < self.begin_until()
     }
 }
--- a/crates/coordination/tests/drain.rs
+++ b/crates/coordination/tests/drain.rs
@@ -15,8 +15,8 @@
         let schedule = Schedule::new(start, grace);
         start <= schedule.close_from()
             && schedule.close_from() <= schedule.accept_until()
-            && schedule.accept_until() <= schedule.transactions_until()
-            && schedule.transactions_until() <= schedule.answers_until()
+            && schedule.accept_until() <= schedule.begin_until()
+            && schedule.begin_until() <= schedule.answers_until()
             && schedule.answers_until() <= schedule.exit_at()
             && schedule.exit_at() + schedule.exit_time() <= start + grace
     }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -214,6 +214,7 @@
             let now = self.instance.now();
             let close_at = self.close_at(waiting_since);
             if close_at.is_some_and(|at| now >= at) && !self.caller.has_input() {
+                self.abort_at_exit().await?;
                 return Ok(None);
             }
             let idle_deadline = self
--- a/crates/entry/src/session/shutdown.rs
+++ b/crates/entry/src/session/shutdown.rs
@@ -4,13 +4,16 @@
 use std::time::Instant;
 
 use filbertbay_coordination::drain::Schedule;
-use slog::debug;
+use slog::{debug, info};
 
 use super::{CLOSE_TIMEOUT, Session};
 use crate::caller::{Answer, Code, Command, Refusal, Statement, TransactionState};
 use crate::endpoint::Access;
 use crate::instance::{Instance, Phase};
 
+/// Text of the refusal that ends an open transaction.
+const ROLLED_BACK: &str = "the instance shuts down; the transaction was rolled back";
+
 /// Counts a statement as unanswered until it is dropped.
 pub(super) struct UnansweredStatement(Rc<Instance>);
 
@@ -37,13 +40,14 @@
         }
     }
 
-    /// Returns when a draining instance closes this session if no statement arrives before then.
+    /// Returns when a draining instance closes this session if no statement arrives before then. An open
+    /// transaction has until the last answers to commit.
     pub(super) fn close_at(&self, waiting_since: Instant) -> Option<Instant> {
         let schedule = self.schedule()?;
         Some(if self.transaction.is_none() {
             schedule.close_idle_at(waiting_since)
         } else {
-            schedule.transactions_until()
+            schedule.answers_until()
         })
     }
 
@@ -92,8 +96,8 @@
     fn shutdown_refusal(&self, statement: &Statement, now: Instant) -> Option<Refusal> {
         let schedule = self.schedule()?;
         if !self.transaction.is_none() {
-            let text = "the instance shuts down; the transaction was rolled back";
-            return (now >= schedule.answers_until()).then(|| Refusal::new(Code::Aborted, text));
+            let is_late = now >= schedule.answers_until();
+            return is_late.then(|| Refusal::new(Code::Aborted, ROLLED_BACK));
         }
         let is_begin = matches!(statement.command, Command::Begin { .. });
         let is_in_time = schedule.can_answer(now, self.route.latency_objective)
@@ -114,6 +118,17 @@
         }
     }
 
+    /// Rolls back the transaction that is open when the process ends, and tells the caller so.
+    pub(super) async fn abort_at_exit(&mut self) -> std::io::Result<()> {
+        if !self.transaction.is_open() {
+            return Ok(());
+        }
+        info!(self.log, "transaction ended by the shutdown");
+        self.close();
+        let refusal = Refusal::new(Code::Aborted, ROLLED_BACK);
+        self.caller.terminate(&refusal).await
+    }
+
     /// Closes the connection to the caller. A draining instance first reads what the caller has sent
     /// meanwhile, since a close with unread input resets the connection, which may drop the last
     /// answer.
