Answer what has arrived before an idle session is closed

A statement sent 2.55 s after the SIGTERM of its instance was not run, and its connection ended 200 ms later without an answer.

Change: a session is closed at once again, so that a late statement is reset by the kernel and the caller knows that it was not read. Before an idle session is closed, the input is read once more, and a statement in it is answered.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -220,7 +220,4 @@
 
     /// Sends a refusal that answers no statement, before the connection is closed.
     async fn terminate(&mut self, refusal: &Refusal) -> std::io::Result<()>;
-
-    /// Ends the output, and discards input until the caller closes the connection.
-    async fn close(&mut self) -> std::io::Result<()>;
 }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_state::position::Position;
+use futures::FutureExt;
 use slog::{Logger, debug, info};
 
 use self::attempt::{EndpointReply, PendingStatement};
@@ -52,9 +53,6 @@
 /// Longest wait for the first configuration. Callers give up on a session after 2 s.
 const CATALOG_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Longest time for which a draining instance reads what the caller of a closed session still sends.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Session values that one session may keep, and prepared statements likewise.
 const MAX_SESSION_ITEMS: usize = 256;
 
@@ -119,7 +117,6 @@
                 debug!(session.log, "session failed"; "error" => %error);
             }
             session.close();
-            session.close_caller().await;
         }
         Ok(Err(refusal)) => {
             info!(instance.log, "session refused"; "code" => %refusal.code, "reason" => &*refusal.text);
@@ -214,6 +211,11 @@
             let now = self.instance.now();
             let close_at = self.close_at(waiting_since);
             if close_at.is_some_and(|at| now >= at) && !self.caller.has_input() {
+                // A statement may have arrived that this task has not read yet.
+                tokio::task::yield_now().await;
+                if let Some(statement) = self.caller.next().now_or_never() {
+                    return Ok(statement?);
+                }
                 self.abort_at_exit().await?;
                 return Ok(None);
             }
--- a/crates/entry/src/session/shutdown.rs
+++ b/crates/entry/src/session/shutdown.rs
@@ -4,9 +4,9 @@
 use std::time::Instant;
 
 use filbertbay_coordination::drain::Schedule;
-use slog::{debug, info};
+use slog::info;
 
-use super::{CLOSE_TIMEOUT, Session};
+use super::Session;
 use crate::caller::{Answer, Code, Command, Refusal, Statement, TransactionState};
 use crate::endpoint::Access;
 use crate::instance::{Instance, Phase};
@@ -128,20 +128,6 @@
         let refusal = Refusal::new(Code::Aborted, ROLLED_BACK);
         self.caller.terminate(&refusal).await
     }
-
-    /// Closes the connection to the caller. A draining instance first reads what the caller has sent
-    /// meanwhile, since a close with unread input resets the connection, which may drop the last
-    /// answer.
-    pub(super) async fn close_caller(&mut self) {
-        if self.schedule().is_none() {
-            return;
-        }
-        match tokio::time::timeout(CLOSE_TIMEOUT, self.caller.close()).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => debug!(self.log, "session not closed cleanly"; "error" => %error),
-            Err(_) => debug!(self.log, "caller kept a closed session open"),
-        }
-    }
 }
 
 /// Waits until a draining instance must answer every statement; never ends while it serves.
