Take the ports of tests from below the ephemeral range

The tests picked a port by binding port zero and closing it again, which is in the kernel's ephemeral range, so that an outgoing connection or a listener of a test that runs in parallel could take it before it was bound.

--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -1,9 +1,11 @@
-//! Seeded quickcheck runner shared by the tests of the workspace.
+//! Seeded quickcheck runner and free ports, shared by the tests of the workspace.
 //!
 //! By default, every property test runs with a fixed seed and size, so that its result is the same
 //! on every run. Set `QUICKCHECK_SEED` and `QUICKCHECK_TESTS` to test other or more cases.
 
 use std::env;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use quickcheck::{Gen, QuickCheck};
 
@@ -13,6 +15,42 @@
 /// Number of passing cases required when `QUICKCHECK_TESTS` is not set.
 pub const DEFAULT_TESTS: u64 = 100;
 
+/// Lowest port that [`free_address`] returns.
+const FIRST_PORT: u16 = 11_000;
+
+/// Number of port ranges, one for each of the test processes that run in parallel.
+const MAX_PARALLEL_PROCESSES: u32 = 100;
+
+/// Number of ports in the range of a process.
+const PORTS_PER_PROCESS: u16 = 200;
+
+/// Number of ports that this process has tried so far; the next offset before it wraps around.
+static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a loopback address on which nothing listens.
+///
+/// Its port lies below the kernel's ephemeral range, so that neither an outgoing connection nor a
+/// listener on port zero takes it before the caller binds it. Tests that run in parallel, in one
+/// process or in several, get different ports.
+///
+/// # Examples
+///
+/// ```
+/// let address = check::free_address();
+/// assert!(std::net::TcpListener::bind(address).is_ok());
+/// ```
+pub fn free_address() -> SocketAddr {
+    let range = (std::process::id() % MAX_PARALLEL_PROCESSES) as u16;
+    let first_port = FIRST_PORT + range * PORTS_PER_PROCESS;
+    loop {
+        let offset = NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+        let address = SocketAddr::from(([127, 0, 0, 1], first_port + offset));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
 /// Returns a runner whose generator has the given size and the seed that [`seed`] returns.
 ///
 /// `size` bounds the length of generated collections.
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -67,9 +67,7 @@
 #[test]
 fn a_refused_connection_is_reported_as_absent() {
     run(async || {
-        let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = free.local_addr().unwrap();
-        drop(free);
+        let address = check::free_address();
         let peers = Peers::default();
         let answer = peers.view(address, 0).await;
         assert!(matches!(answer, Err(CallError::Absent)), "{answer:?}");
--- a/crates/filbertbay/tests/control.rs
+++ b/crates/filbertbay/tests/control.rs
@@ -1,10 +1,11 @@
 //! Tests the dissemination of the configuration among nine control threads over real sockets, with
 //! platform outages, lost responses, restarts, joins and departures.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use check::free_address;
 use filbertbay::control::{ControlThread, Dependencies};
 use filbertbay::published::PublishedState;
 use filbertbay_coordination::spread::is_watcher;
@@ -33,13 +34,6 @@
     instances: Vec<RunningInstance>,
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 fn instance(number: usize, incarnation: u64) -> Instance {
     Instance {
         name: format!("instance-{number}").into(),
--- a/crates/filbertbay/tests/soak/fleet.rs
+++ b/crates/filbertbay/tests/soak/fleet.rs
@@ -2,11 +2,10 @@
 //! store.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 
+use check::free_address;
 use serde_json::json;
 use tempfile::TempDir;
 
@@ -16,31 +15,6 @@
 /// Data centre of each instance; two instances share one.
 pub const DATA_CENTRES: [&str; 3] = ["quimper", "quimper", "nantes"];
 
-/// Lowest port that a soak uses.
-const FIRST_PORT: u16 = 11_000;
-
-/// Number of port ranges, one for each of the soak processes that run in parallel.
-const MAX_PARALLEL_SOAKS: u32 = 100;
-
-/// Number of ports in the range of a soak process.
-const PORTS_PER_SOAK: u16 = 200;
-
-/// Number of ports that this process has tried so far; the next offset before it wraps around.
-static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
-
-/// Returns a free loopback address. Its port lies below the kernel's ephemeral range, so that it stays
-/// free while the instance is down. Parallel soaks, in one process or in several, get different ports.
-fn next_free_address() -> SocketAddr {
-    let first_port = FIRST_PORT + (std::process::id() % MAX_PARALLEL_SOAKS) as u16 * PORTS_PER_SOAK;
-    loop {
-        let offset = NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed) % PORTS_PER_SOAK;
-        let address = SocketAddr::from(([127, 0, 0, 1], first_port + offset));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Entry instance that runs as a child process.
 pub struct Instance {
     /// Proxy in front of the listener for callers.
@@ -75,13 +49,13 @@
         };
         for (index, data_centre) in DATA_CENTRES.iter().enumerate() {
             let name = format!("{data_centre}-{index}");
-            let caller_address = next_free_address();
+            let caller_address = free_address();
             let store_proxy = Proxy::bind(cluster.platform.address).await;
             let settings = json!({
                 "name": name, "data_centre": data_centre,
                 "data_centres": {"quimper": "bretagne", "nantes": "pays-loire"},
-                "callers": caller_address, "readiness": next_free_address(), "readiness_path": "/ready",
-                "peers": next_free_address(), "metrics": next_free_address(), "seeds": [],
+                "callers": caller_address, "readiness": free_address(), "readiness_path": "/ready",
+                "peers": free_address(), "metrics": free_address(), "seeds": [],
                 "store": store_proxy.address, "failover": store_proxy.address,
                 "grace_s": 6, "leave_ms": 7000, "file_limit": 4200
             });
