Report usage by window from one instance

Change: coordination::usage counts, sums and seals windows; entry::usage pushes the counts to the holder of the lock filbertbay/reporter, which seals them in filbertbay/usage by compare-and-swap and then reports. Drivers have Metering, implemented in platform/. Settings without "usage" are served as before.

--- a/crates/check/tests/platform.rs
+++ b/crates/check/tests/platform.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of the platform's calls, headers, keys and messages.
-const PLATFORM_NAMES: [&str; 16] = [
+const PLATFORM_NAMES: [&str; 17] = [
     "/-/kv-",
     "kv-txn",
     "kv-watch",
@@ -24,6 +24,7 @@
     "NOSTMT",
     "INDOUBT",
     "MALFORMED",
+    "window_id",
 ];
 
 /// Code of decisions: state machines, timers, retries and random choices.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod share;
 pub mod spread;
 pub mod succession;
+pub mod usage;
 pub mod view;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::instance::{Drivers, Instance, Phase};
 use crate::session;
 use crate::settings::Settings;
-use crate::{freshness, health, peer, quota, succession, watcher};
+use crate::{freshness, health, peer, quota, succession, usage, watcher};
 
 /// Interval at which the number of open sessions is polled during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -102,6 +102,7 @@
     quota::spawn(&instance);
     freshness::spawn(&instance);
     succession::spawn(&instance);
+    usage::spawn(&instance);
     health::serve_readiness(readiness, &readiness_path, &instance);
     health::serve_metrics(metrics, &instance);
     let session_tokens = Rc::new(());
@@ -199,7 +200,8 @@
         || current.readiness != settings.readiness
         || current.metrics != settings.metrics
         || current.store != settings.store
-        || current.failover != settings.failover;
+        || current.failover != settings.failover
+        || current.usage != settings.usage;
     info!(instance.log, "settings reloaded"; "needs_restart" => needs_restart);
     *instance.settings.borrow_mut() = Rc::new(settings);
 }
@@ -223,7 +225,10 @@
     }
     let open_sessions = session_count(session_tokens);
     let unanswered = instance.unanswered_statements.get();
-    let withdrawal = watcher::withdraw(instance);
+    let withdrawal = async {
+        usage::finish(instance).await;
+        watcher::withdraw(instance).await;
+    };
     let withdrawn = tokio::time::timeout(schedule.exit_time(), withdrawal).await;
     info!(instance.log, "stopped"; "sessions_cut" => open_sessions, "statements_cut" => unanswered,
         "withdrawn" => withdrawn.is_ok(),
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -9,7 +9,7 @@
 
 use filbertbay_coordination::drain::Schedule;
 use filbertbay_state::position::Position;
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::sync::{Notify, watch};
 
 use crate::catalog::{Catalog, Route, Workspace};
@@ -20,8 +20,9 @@
 use crate::pool::{EndpointPool, Pool};
 use crate::quota::Quota;
 use crate::settings::Settings;
-use crate::store::{Dialect, Event, Failover, Item, Listing, Store};
-use crate::view::{Change, View};
+use crate::store::{Dialect, Event, Failover, Item, Listing, Metering, Store};
+use crate::usage::Usage;
+use crate::view::{Change, PROMOTION_LOCK_KEY, USAGE_LOCK_KEY, View};
 
 /// Margin before the end of an endpoint's drain period at which it stops receiving reads that no
 /// other endpoint can serve.
@@ -61,6 +62,8 @@
     pub store: Rc<dyn Store>,
     /// Orders promotions.
     pub failover: Rc<dyn Failover>,
+    /// Reports usage.
+    pub metering: Rc<dyn Metering>,
     /// Decodes the values that other programs write into the store.
     pub dialect: Rc<dyn Dialect>,
     /// Opens connections to endpoints.
@@ -109,6 +112,8 @@
     pub quota: Quota,
     /// Positions of primaries that prove the freshness of replicas.
     pub watermarks: Watermarks,
+    /// Counts of the statements that are sent to endpoints.
+    pub usage: Usage,
     /// Logger.
     pub log: Logger,
     /// Counter that grows with each change of the view.
@@ -139,6 +144,7 @@
             pool: Pool::new(Rc::clone(&drivers.connector), clock),
             peers: Peers::default(),
             quota,
+            usage: Usage::new(&settings, clock),
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
             clock,
@@ -300,11 +306,15 @@
                     "revision" => revision);
             }
             Change::PromotionLock => {
+                info!(self.log, "holder of promotions changed"; "holder" => self.holder(PROMOTION_LOCK_KEY));
+            }
+            Change::UsageLock => {
+                info!(self.log, "instance that reports usage changed"; "holder" => self.holder(USAGE_LOCK_KEY));
+            }
+            Change::UsageRecord => {
                 let view = self.view.borrow();
-                let holder = view
-                    .promotion_lock_holder()
-                    .map(|(holder, _)| holder.instance.to_string());
-                info!(self.log, "holder of promotions changed"; "holder" => holder);
+                let sealed_through = view.usage_record().map(|(record, _)| record.sealed_through);
+                debug!(self.log, "record of usage changed"; "sealed_through" => sealed_through);
             }
             Change::Allocation => {
                 let epoch = self
@@ -321,6 +331,13 @@
         }
     }
 
+    /// Returns the name of the instance that holds the lock with the key.
+    fn holder(&self, key: &str) -> Option<String> {
+        let view = self.view.borrow();
+        let holder = view.lock_holder(key);
+        holder.map(|(holder, _)| holder.instance.to_string())
+    }
+
     fn log_endpoint(&self, id: &str, revision: u64) {
         let view = self.view.borrow();
         let endpoint = view.endpoint(id);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -9,6 +9,7 @@
 //! | `reach` | whether another instance gets answers from an endpoint |
 //! | `share` | messages of the rate limiters about loans of tokens |
 //! | `watermarks` | exchanges the positions of primaries that prove the freshness of replicas |
+//! | `usage` | pushes usage counts to the instance that reports them |
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -18,6 +19,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::share::Message;
+use filbertbay_coordination::usage::Push;
 use filbertbay_state::position::Position;
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
@@ -51,6 +53,9 @@
 /// Timeout of an exchange of watermarks between two instances of a data centre.
 const WATERMARK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Timeout of a call with usage counts. Many instances push theirs at the same time.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Timeout of a call for a snapshot, which may be some hundred kilobytes.
 const VIEW_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -114,6 +119,14 @@
     pub watermarks: Vec<Watermark>,
 }
 
+/// Acknowledgement of usage counts.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct UsageReply {
+    /// Time by which the clock of the caller is ahead of the median of all instances, in milliseconds;
+    /// zero if the difference does not matter.
+    pub clock_error_ms: i64,
+}
+
 /// RPC service that every instance provides to the other instances.
 #[tarpc::service]
 pub trait Peer {
@@ -133,6 +146,9 @@
     /// Records watermarks whose times are on the clock of `incarnation` of this instance, and returns
     /// those that this instance knows.
     async fn watermarks(incarnation: u64, reported: Vec<Watermark>) -> WatermarkReply;
+    /// Adds usage counts to those to be reported; `None` if this instance does not hold the usage lock
+    /// with the fencing token of the push.
+    async fn usage(push: Push) -> Option<UsageReply>;
 }
 
 #[derive(Clone)]
@@ -188,6 +204,10 @@
     ) -> WatermarkReply {
         freshness::handle_report(&self.0, incarnation, &reported)
     }
+
+    async fn usage(self, _: context::Context, push: Push) -> Option<UsageReply> {
+        self.0.usage.receive(&self.0, &push)
+    }
 }
 
 fn snapshot_newer_than(instance: &Instance, seen: u64) -> Option<ViewSnapshot> {
@@ -413,6 +433,18 @@
         .await
     }
 
+    /// Pushes usage counts to the instance that reports them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived.
+    pub async fn usage(&self, to: SocketAddr, push: Push) -> Result<Option<UsageReply>, CallError> {
+        self.call(to, USAGE_TIMEOUT, async move |client, context| {
+            client.usage(context, push).await
+        })
+        .await
+    }
+
     async fn call<F, T>(&self, to: SocketAddr, timeout: Duration, call: F) -> Result<T, CallError>
     where
         F: AsyncFnOnce(PeerClient, context::Context) -> Result<T, client::RpcError>,
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -448,6 +448,7 @@
         let _in_flight = InFlightGuard::new(endpoint_pool);
         let mut aborts = endpoint_pool.subscribe_aborts();
         let sent_at = instance.now();
+        let counted = instance.usage.count(sent_at, &self.workspace.name);
         let limit = deadline.saturating_duration_since(sent_at);
         let running = self.exchange(pending, begin, target, connection);
         let outcome = tokio::select! {
@@ -458,6 +459,7 @@
         let reply = match outcome {
             Ok(Ok(reply)) => reply,
             Ok(Err(ConnectionLost::BeforeSend)) => {
+                instance.usage.retract(&counted, &self.workspace.name);
                 endpoint_pool.record_failure(now);
                 return Err(AttemptError::NotRun(Code::Busy));
             }
@@ -478,8 +480,12 @@
         if let (Some(primary_ref), Some(position)) = (&target.primary_ref, reply.position) {
             primary_ref.record_position(instance, sent_at, position);
         }
-        if reply.result.is_ok() {
-            endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
+        match &reply.result {
+            Ok(_) => endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at)),
+            Err(refusal) if refusal.code.is_not_run() => {
+                instance.usage.retract(&counted, &self.workspace.name);
+            }
+            Err(_) => {}
         }
         Ok(reply)
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -69,6 +69,21 @@
     /// instances, at any time.
     #[serde(default)]
     pub rate_slack: u64,
+    /// Usage reports; none are made without it.
+    #[serde(default)]
+    pub usage: Option<Usage>,
+}
+
+/// Settings of usage reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Usage {
+    /// Length of a window of the wall clock, in seconds.
+    pub window_s: u64,
+    /// Time after the end of a window within which it is reported, in seconds.
+    pub late_s: u64,
+    /// Time within which three reports must not come from two holders by turns, in milliseconds.
+    pub lease_ms: u64,
 }
 
 /// Error of reading or checking settings.
@@ -136,6 +151,12 @@
         if self.grace_s == 0 {
             return invalid("grace_s", "must be above zero".to_owned());
         }
+        if self
+            .usage
+            .is_some_and(|usage| usage.window_s == 0 || usage.late_s == 0)
+        {
+            return invalid("usage", "window_s and late_s must be above zero".to_owned());
+        }
         let listeners = [self.callers, self.readiness, self.peers, self.metrics];
         for (index, one) in listeners.iter().enumerate() {
             if listeners[..index].contains(one) {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+pub use filbertbay_coordination::usage::Counts as UsageCounts;
 use serde::{Deserialize, Serialize};
 
 /// Key with its value and the revision of its last change.
@@ -154,6 +155,29 @@
     ) -> Result<Promotion, Error>;
 }
 
+/// Outcome of a usage report that was answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Delivery {
+    /// The platform accepted the report, now or before.
+    Accepted,
+    /// The platform rejects the report for good.
+    Rejected,
+}
+
+/// Reports usage to the platform.
+#[async_trait(?Send)]
+pub trait Metering {
+    /// Reports the statements of each workspace in a window, with the fencing token `fence` of the usage
+    /// lock that `holder` has. A repeated report must have the same counts.
+    async fn report(
+        &self,
+        window: u64,
+        counts: &UsageCounts,
+        holder: &str,
+        fence: u64,
+    ) -> Result<Delivery, Error>;
+}
+
 /// Meaning of a key of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum KeyKind {
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -8,12 +8,10 @@
 //! starts the change again.
 
 mod evidence;
-mod hold;
 mod selection;
 
 use self::evidence::status;
 pub use self::evidence::{check_reachability, wait_until_released};
-use self::hold::PromotionLock;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,10 +30,11 @@
 
 use crate::endpoint::Endpoint;
 use crate::instance::Instance;
+use crate::lock::{self, Held, Lock};
 use crate::peer::CallError;
 use crate::store::{ConditionalWrite, Error, ErrorKind, Item, Promotion, WriteOutcome};
 use crate::task;
-use crate::view::{INSTANCE_PREFIX, InstanceEntry, PRIMARY_RECORD_PREFIX};
+use crate::view::{INSTANCE_PREFIX, InstanceEntry, PRIMARY_RECORD_PREFIX, PROMOTION_LOCK_KEY};
 
 /// Time that an instance waits for each instance before it to act first.
 const STAGGER_PER_RANK: Duration = Duration::from_millis(150);
@@ -61,6 +60,15 @@
 /// Longest wait for a promoted member to report its role before its status is queried.
 const ROLE_REPORT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Lock on promotions. The holder keeps it for its time to live after its last change of primary, so that
+/// it does not alternate between instances.
+const PROMOTION_LOCK: lock::Terms = lock::Terms {
+    key: PROMOTION_LOCK_KEY,
+    ttl: Duration::from_secs(3),
+    renewal_interval: Duration::from_millis(900),
+    margin: Duration::from_millis(900),
+};
+
 /// Why a primary is changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -88,7 +96,7 @@
 
 struct Coordinator {
     instance: Rc<Instance>,
-    promotion_lock: tokio::sync::Mutex<Option<PromotionLock>>,
+    promotion_lock: Lock,
     /// Services whose primary this instance is changing.
     in_progress: RefCell<BTreeSet<Arc<str>>>,
     /// Time since which each service has had a fault without interruption.
@@ -111,7 +119,7 @@
     task::spawn(&instance.log, "succession", move || {
         let coordinator = Rc::new(Coordinator {
             instance: Rc::clone(&shared),
-            promotion_lock: tokio::sync::Mutex::default(),
+            promotion_lock: Lock::new(PROMOTION_LOCK),
             in_progress: RefCell::default(),
             fault_since: RefCell::default(),
         });
@@ -190,7 +198,7 @@
         let own = Arc::clone(&self.instance.settings().name);
         let view = self.instance.view.borrow();
         if view
-            .promotion_lock_holder()
+            .lock_holder(PROMOTION_LOCK_KEY)
             .is_some_and(|(holder, _)| holder.instance == own)
         {
             return Duration::ZERO;
@@ -199,7 +207,7 @@
         let order = rendezvous::rank(service, names, |name| name);
         let rank = order.iter().position(|name| *name == own.as_ref());
         let rank = rank.unwrap_or(0);
-        let held = usize::from(view.promotion_lock_holder().is_some());
+        let held = usize::from(view.lock_holder(PROMOTION_LOCK_KEY).is_some());
         let steps = u32::try_from(rank + held).unwrap_or(u32::MAX);
         STAGGER_PER_RANK.saturating_mul(steps).min(MAX_STAGGER)
     }
@@ -244,7 +252,7 @@
         if reason.is_planned() && !self.can_switch_over(service).await {
             return false;
         }
-        let lock = match self.acquire_lock().await {
+        let lock = match self.promotion_lock.acquire(&self.instance).await {
             Ok(Some(lock)) => lock,
             Ok(None) => return false,
             Err(error) => {
@@ -282,7 +290,7 @@
         &self,
         service: &Arc<str>,
         reason: Reason,
-        lock: PromotionLock,
+        lock: Held,
     ) -> Result<Arc<str>, &'static str> {
         let from = self.previous_primary(service);
         let record = PrimaryRecord {
@@ -308,6 +316,12 @@
         Ok(Arc::clone(&next.id))
     }
 
+    /// Renews the promotion lock if that is due. Returns whether it is held for some time longer for
+    /// certain.
+    async fn renew_lock(&self) -> bool {
+        self.promotion_lock.renew(&self.instance).await.is_some()
+    }
+
     /// Returns the primary that is to be replaced, if it is known.
     fn previous_primary(&self, service: &str) -> Option<Arc<str>> {
         let view = self.instance.view.borrow();
@@ -442,7 +456,7 @@
         &self,
         service: &str,
         next: &Rc<Endpoint>,
-        lock: PromotionLock,
+        lock: Held,
     ) -> Result<(), &'static str> {
         if !self.renew_lock().await {
             return Err("the promotion lock was lost before the promotion");
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -12,6 +12,7 @@
 
 use filbertbay_coordination::share::Allocation;
 use filbertbay_coordination::succession::{MAX_PRIMARY_LEASE, Phase, PrimaryLease, PrimaryRecord};
+use filbertbay_coordination::usage::Record;
 use filbertbay_state::status::Role;
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +32,12 @@
 /// Key of the promotion lock.
 pub const PROMOTION_LOCK_KEY: &str = "filbertbay/holder";
 
+/// Key of the usage lock, which names the instance that reports usage.
+pub const USAGE_LOCK_KEY: &str = "filbertbay/reporter";
+
+/// Key of the record of sealed usage windows.
+pub const USAGE_RECORD_KEY: &str = "filbertbay/usage";
+
 /// Key of the allocation of rate limit lanes to instances.
 pub const ALLOCATION_KEY: &str = "filbertbay/shares";
 
@@ -53,10 +60,10 @@
     pub incarnation: u64,
 }
 
-/// Stored value of the promotion lock, which names the instance that holds it.
+/// Stored value of a lock, which names the instance that holds it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct PromotionLockHolder {
-    /// Name of the instance that may order promotions.
+pub struct LockHolder {
+    /// Name of the instance that holds the lock.
     pub instance: Arc<str>,
 }
 
@@ -92,6 +99,10 @@
     Instance(Arc<str>),
     /// The holder of the promotion lock changed.
     PromotionLock,
+    /// The holder of the usage lock changed.
+    UsageLock,
+    /// The record of sealed usage windows changed.
+    UsageRecord,
     /// The allocation of rate limit lanes changed.
     Allocation,
     /// The value of the key is invalid, for the given reason.
@@ -111,7 +122,9 @@
     primary_records: BTreeMap<Arc<str>, VersionedRecord>,
     instances: BTreeMap<Arc<str>, InstanceEntry>,
     removed_instances: BTreeMap<Arc<str>, (InstanceEntry, Instant)>,
-    promotion_lock_holder: Option<(PromotionLockHolder, u64)>,
+    /// Holder of each lock with the revision of its entry, by key.
+    lock_holders: BTreeMap<Arc<str>, (LockHolder, u64)>,
+    usage_record: Option<(Rc<Record>, u64)>,
     allocation: Option<Arc<Allocation>>,
 }
 
@@ -267,10 +280,16 @@
             self.removed_instances.remove(&name);
             return Ok(Some(Change::Instance(name)));
         }
-        if key == PROMOTION_LOCK_KEY {
+        if let Some(change) = lock_change(key) {
             let holder = serde_json::from_slice(&item.value).map_err(unreadable)?;
-            self.promotion_lock_holder = Some((holder, item.revision));
-            return Ok(Some(Change::PromotionLock));
+            self.lock_holders
+                .insert(Arc::clone(&item.key), (holder, item.revision));
+            return Ok(Some(change));
+        }
+        if key == USAGE_RECORD_KEY {
+            let record = serde_json::from_slice(&item.value).map_err(unreadable)?;
+            self.usage_record = Some((Rc::new(record), item.revision));
+            return Ok(Some(Change::UsageRecord));
         }
         if key == ALLOCATION_KEY {
             let allocation: Allocation = serde_json::from_slice(&item.value).map_err(unreadable)?;
@@ -318,9 +337,12 @@
                     .insert(Arc::clone(&name), (peer, now));
             }
             changes.push(Change::Instance(name));
-        } else if key == PROMOTION_LOCK_KEY {
-            self.promotion_lock_holder = None;
-            changes.push(Change::PromotionLock);
+        } else if let Some(change) = lock_change(key) {
+            self.lock_holders.remove(key);
+            changes.push(change);
+        } else if key == USAGE_RECORD_KEY {
+            self.usage_record = None;
+            changes.push(Change::UsageRecord);
         } else if key == ALLOCATION_KEY {
             self.allocation = None;
             changes.push(Change::Allocation);
@@ -456,9 +478,14 @@
         all
     }
 
-    /// Returns the holder of the promotion lock and the revision of the entry.
-    pub fn promotion_lock_holder(&self) -> Option<&(PromotionLockHolder, u64)> {
-        self.promotion_lock_holder.as_ref()
+    /// Returns the holder of the lock with the key and the revision of the entry.
+    pub fn lock_holder(&self, key: &str) -> Option<&(LockHolder, u64)> {
+        self.lock_holders.get(key)
+    }
+
+    /// Returns the record of sealed usage windows and its revision.
+    pub fn usage_record(&self) -> Option<&(Rc<Record>, u64)> {
+        self.usage_record.as_ref()
     }
 
     /// Returns the allocation of rate limit lanes to instances.
@@ -466,3 +493,12 @@
         self.allocation.as_ref()
     }
 }
+
+/// Returns the change that a new value of `key` means if it is the key of a lock.
+fn lock_change(key: &str) -> Option<Change> {
+    match key {
+        PROMOTION_LOCK_KEY => Some(Change::PromotionLock),
+        USAGE_LOCK_KEY => Some(Change::UsageLock),
+        _ => None,
+    }
+}
