Keep counts while the usage lock is only close to its end, and let go of it when reports are not answered

The collector was dropped whenever the lock was not valid for the margin, although instances take acknowledged counts for known under the same token; and without a record the first window moved on with the time and was never sealed.

--- a/crates/entry/src/usage/reporter.rs
+++ b/crates/entry/src/usage/reporter.rs
@@ -30,6 +30,12 @@
 /// Upper limit of the stagger in a large fleet.
 const MAX_STAGGER: Duration = Duration::from_millis(1_500);
 
+/// Time without an answer to reports after which another instance, which may reach the platform, takes over.
+const RESIGN_AFTER: Duration = Duration::from_secs(4);
+
+/// Time for which an instance that gave up the lock does not take it again.
+const RESIGNATION: Duration = Duration::from_secs(10);
+
 /// Windows whose acceptance is remembered after their report.
 const MAX_REPORTED: usize = 128;
 
@@ -42,6 +48,9 @@
     settling_time: Duration,
     lock: Lock,
     vacant_since: Option<Instant>,
+    /// Time since which no report was answered.
+    unanswered_since: Option<Instant>,
+    resigned_at: Option<Instant>,
     /// Windows whose reports were accepted or rejected.
     reported: Vec<u64>,
     /// Record as this instance wrote it last, with its revision.
@@ -62,6 +71,8 @@
             settling_time: Duration::from_millis(usage.lease_ms / 2 + 100),
             lock: Lock::new(USAGE_LOCK),
             vacant_since: None,
+            unanswered_since: None,
+            resigned_at: None,
             reported: Vec::new(),
             written: None,
             stale_revision: None,
@@ -75,7 +86,7 @@
                 self.prepare(held);
                 self.seal(held).await;
                 self.report(held).await;
-            } else {
+            } else if !self.lock.is_held().await {
                 *self.instance.usage.collector.borrow_mut() = None;
             }
         }
@@ -95,6 +106,7 @@
             return None;
         }
         self.vacant_since = None;
+        self.unanswered_since = None;
         match self.lock.acquire(&self.instance).await {
             Ok(held) => held,
             Err(error) => {
@@ -109,7 +121,9 @@
         let instance = &self.instance;
         let now = instance.now();
         let view = instance.view.borrow();
-        let is_vacant = view.lock_holder(USAGE_LOCK_KEY).is_none()
+        let has_resigned = self.resigned_at.is_some_and(|at| now < at + RESIGNATION);
+        let is_vacant = !has_resigned
+            && view.lock_holder(USAGE_LOCK_KEY).is_none()
             && instance.is_store_reachable.get()
             && view.primary_lease.is_valid(now);
         if !is_vacant {
@@ -153,8 +167,9 @@
             (Some((seen, revision)), _) => (Record::clone(seen), *revision),
             (None, Some((written, at))) => (written.clone(), *at),
             (None, None) => {
-                let now = self.instance.usage.clock.at(self.instance.now());
-                (Record::starting_at(self.schedule, now), 0)
+                let started_at = self.instance.clock.started_at();
+                let started_at = self.instance.usage.clock.at(started_at);
+                (Record::starting_at(self.schedule, started_at), 0)
             }
         }
     }
@@ -269,8 +284,25 @@
                 return;
             };
             if !self.send(sealed, held).await {
+                self.resign_if_unanswered().await;
                 return;
             }
+            self.unanswered_since = None;
+        }
+    }
+
+    /// Gives up the lock if the platform has not answered this instance for a while.
+    async fn resign_if_unanswered(&mut self) {
+        let now = self.instance.now();
+        let since = *self.unanswered_since.get_or_insert(now);
+        let has_peers = self.instance.view.borrow().peers().len() > 1;
+        if has_peers && now >= since + RESIGN_AFTER {
+            info!(
+                self.instance.log,
+                "usage lock given up, reports are not answered"
+            );
+            self.resigned_at = Some(now);
+            self.lock.release(&self.instance).await;
         }
     }
 
