Keep records, configuration and tokens over a store that returns from a copy

Items, records, fencing tokens and expected revisions were compared by revision alone, and leases by id.

A lease carries its era and has ended in any later one; a write that expects a revision or lease of an earlier era is refused, one answered in another era is unknown. In a new era no contact extends a primary lease or the proof of ownership of lanes until an instance (entry::era) has collected what the others remember, has compared records with the members' roles and terms, has written newer ones again and has named the era under filbertbay/era. Entries are written again at once with jitter.

Ruled out: an era field in each peer message; the composite revision carries it in all of them.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -85,6 +85,17 @@
     pub from: Option<Arc<str>>,
     /// Instance that wrote the record.
     pub holder: Arc<str>,
+    /// Number of changes of this record before this one.
+    #[serde(default)]
+    pub change: u64,
+}
+
+impl PrimaryRecord {
+    /// Returns whether this record was written before `other`, as far as fencing tokens and numbers of
+    /// changes tell. Unlike revisions, these don't go back with a store that returns from a copy.
+    pub fn precedes(&self, other: &Self) -> bool {
+        (self.fence, self.change) < (other.fence, other.change)
+    }
 }
 
 /// Lease of one instance to use primaries.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -102,6 +102,7 @@
     quota::spawn(&instance);
     freshness::spawn(&instance);
     succession::spawn(&instance);
+    crate::era::spawn(&instance);
     health::serve_readiness(readiness, &readiness_path, &instance);
     health::serve_metrics(metrics, &instance);
     let session_tokens = Rc::new(());
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -233,6 +233,17 @@
         self.dispatch_changes(&changes);
     }
 
+    /// Applies a record that another instance remembers over a return of the store from a copy, if it
+    /// is newer than the one known here.
+    pub fn remember(self: &Rc<Self>, key: &Arc<str>, value: Vec<u8>) {
+        let dialect = Rc::clone(&self.drivers.dialect);
+        let now = self.now();
+        let mut view = self.view.borrow_mut();
+        let changes = view.remember(now, key, value, dialect.as_ref());
+        drop(view);
+        self.dispatch_changes(&changes);
+    }
+
     fn record_store_contact(self: &Rc<Self>, queried_at: Instant, changes: &[Change]) {
         {
             let name = Arc::clone(&self.settings.borrow().name);
@@ -240,9 +251,12 @@
             let own_entry = view.peers().get(&name);
             let is_listed = own_entry.is_some_and(|peer| peer.incarnation == self.incarnation);
             view.primary_lease.set_listed(is_listed);
-            view.primary_lease.record_contact(queried_at);
+            // Until then a newer record or allocation may be missing.
+            if view.is_era_confirmed() {
+                view.primary_lease.record_contact(queried_at);
+                self.quota.confirm_ownership(queried_at);
+            }
         }
-        self.quota.confirm_ownership(queried_at);
         self.dispatch_changes(changes);
     }
 
@@ -314,6 +328,9 @@
                     .map(|allocation| allocation.epoch);
                 info!(self.log, "record of shares changed"; "epoch" => epoch);
             }
+            Change::EraConfirmed(era) => {
+                info!(self.log, "era of the store confirmed"; "era" => era, "revision" => revision);
+            }
             Change::Unusable(key, problem) => {
                 warn!(self.log, "value of the store can't be used"; "key" => key.as_ref(),
                     "problem" => problem.as_str(), "revision" => revision);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod endpoint;
+pub mod era;
 pub mod freshness;
 pub mod health;
 pub mod instance;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -9,6 +9,7 @@
 //! | `reach` | whether another instance gets answers from an endpoint |
 //! | `share` | messages of the rate limiters about loans of tokens |
 //! | `watermarks` | exchanges the positions of primaries that prove the freshness of replicas |
+//! | `records` | records that an instance remembers, after the store has returned from a copy |
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -122,7 +123,7 @@
     /// Returns a snapshot as soon as this instance knows a revision above `seen`, or after `wait`.
     async fn follow(seen: u64, wait: Duration) -> Option<ViewSnapshot>;
     /// Renews the store lease of the caller's entry, and returns whether that succeeded.
-    async fn vouch(lease: u64) -> bool;
+    async fn vouch(lease: Lease) -> bool;
     /// Applies the record of a service's primary, and returns whether this instance has released the
     /// previous primary.
     async fn leave(service: Arc<str>, record: Item) -> bool;
@@ -133,6 +134,8 @@
     /// Records watermarks whose times are on the clock of `incarnation` of this instance, and returns
     /// those that this instance knows.
     async fn watermarks(incarnation: u64, reported: Vec<Watermark>) -> WatermarkReply;
+    /// Returns the records of primaries and the allocation of lanes that this instance knows.
+    async fn records() -> Vec<Item>;
 }
 
 #[derive(Clone)]
@@ -153,8 +156,8 @@
         snapshot_newer_than(&self.0, seen)
     }
 
-    async fn vouch(self, _: context::Context, lease: u64) -> bool {
-        let renewed = self.0.drivers.store.renew(Lease(lease)).await;
+    async fn vouch(self, _: context::Context, lease: Lease) -> bool {
+        let renewed = self.0.drivers.store.renew(lease).await;
         if let Err(error) = &renewed {
             info!(self.0.log, "lease of another instance not renewed"; "error" => %error);
         }
@@ -188,6 +191,10 @@
     ) -> WatermarkReply {
         freshness::handle_report(&self.0, incarnation, &reported)
     }
+
+    async fn records(self, _: context::Context) -> Vec<Item> {
+        self.0.view.borrow().own_records()
+    }
 }
 
 fn snapshot_newer_than(instance: &Instance, seen: u64) -> Option<ViewSnapshot> {
@@ -343,7 +350,7 @@
     /// Returns an error if no answer arrived.
     pub async fn vouch(&self, to: SocketAddr, lease: Lease) -> Result<bool, CallError> {
         self.call(to, VIEW_TIMEOUT, async move |client, context| {
-            client.vouch(context, lease.0).await
+            client.vouch(context, lease).await
         })
         .await
     }
@@ -413,6 +420,18 @@
         .await
     }
 
+    /// Returns the records of primaries and the allocation of lanes that another instance knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived; [`CallError::Absent`] proves that no process runs.
+    pub async fn records(&self, to: SocketAddr) -> Result<Vec<Item>, CallError> {
+        self.call(to, VIEW_TIMEOUT, async move |client, context| {
+            client.records(context).await
+        })
+        .await
+    }
+
     async fn call<F, T>(&self, to: SocketAddr, timeout: Duration, call: F) -> Result<T, CallError>
     where
         F: AsyncFnOnce(PeerClient, context::Context) -> Result<T, client::RpcError>,
--- a/crates/entry/src/quota/keeper.rs
+++ b/crates/entry/src/quota/keeper.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 
 use crate::instance::Instance;
-use crate::store::{ConditionalWrite, WriteOutcome};
+use crate::store::{ConditionalWrite, WriteOutcome, era_of, revision_in};
 use crate::view::ALLOCATION_KEY;
 
 /// Time after the removal of a holder's entry before its lanes are reassigned; longer than a primary
@@ -79,7 +79,8 @@
             let now = self.instance.now();
             let live = self.update_live(now);
             let has_lease = self.instance.view.borrow().primary_lease.is_valid(now);
-            if !has_lease || self.instance.is_draining() {
+            let is_era_confirmed = self.instance.view.borrow().is_era_confirmed();
+            if !has_lease || !is_era_confirmed || self.instance.is_draining() {
                 continue;
             }
             let record = self.instance.view.borrow().allocation().cloned();
@@ -275,7 +276,11 @@
     }
 
     /// Replaces the allocation if its revision is `expected`.
-    async fn swap(&self, next: Allocation, expected: u64) -> Swap {
+    async fn swap(&self, mut next: Allocation, expected: u64) -> Swap {
+        let era = self.instance.view.borrow().era();
+        if era_of(next.epoch) < era {
+            next.epoch = revision_in(era, next.epoch);
+        }
         let value = match serde_json::to_vec(&next) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -8,6 +8,38 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+/// Bits of a revision that hold its number within an era; those above hold the era.
+const NUMBER_BITS: u32 = 40;
+
+/// Returns the revision with a number in an era of the store.
+///
+/// A store that returns from a copy starts an era and gives numbers out again. Revisions here hold the
+/// era above the number, so that each is above all revisions of earlier eras. In era 0, where stores
+/// that never return from a copy stay, a revision is its number.
+///
+/// # Examples
+///
+/// ```
+/// use filbertbay_entry::store::{era_of, number_of, revision_in};
+///
+/// assert_eq!(revision_in(0, 17), 17);
+/// assert!(revision_in(1, 3) > revision_in(0, 17));
+/// assert_eq!((era_of(revision_in(1, 3)), number_of(revision_in(1, 3))), (1, 3));
+/// ```
+pub fn revision_in(era: u64, number: u64) -> u64 {
+    (era << NUMBER_BITS) | number
+}
+
+/// Returns the era of a revision.
+pub fn era_of(revision: u64) -> u64 {
+    revision >> NUMBER_BITS
+}
+
+/// Returns the number of a revision within its era.
+pub fn number_of(revision: u64) -> u64 {
+    revision & ((1 << NUMBER_BITS) - 1)
+}
+
 /// Key with its value and the revision of its last change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Item {
@@ -51,13 +83,19 @@
 pub enum WriteOutcome {
     /// Written at the revision.
     Done(u64),
-    /// The condition did not hold or the lease has ended; nothing was written.
+    /// The condition did not hold, the lease has ended, or either is of an earlier era; nothing was
+    /// written.
     Conflict,
 }
 
-/// Id of a lease; keys attached to it are removed when it expires.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Lease(pub u64);
+/// Lease; keys attached to it are removed when it expires.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Id, which may be given out again in a later era.
+    pub id: u64,
+    /// Era in which the lease was opened; it has ended in any later one.
+    pub era: u64,
+}
 
 /// Write or removal of one key under a condition.
 #[derive(Clone, Debug)]
@@ -78,7 +116,8 @@
 pub enum ErrorKind {
     /// The store rejected the call, which had no effect.
     Refused,
-    /// No usable response arrived; the call may take effect now or later.
+    /// No usable response arrived, or one of another era than that of the call; the call may take
+    /// effect now or later.
     Unanswered,
     /// The lease has ended.
     Ended,
@@ -118,7 +157,8 @@
     /// Returns every item under a prefix.
     async fn list(&self, prefix: &str) -> Result<Listing, Error>;
 
-    /// Returns the changes after a revision, waiting up to `wait` for the first one.
+    /// Returns the changes after a revision, waiting up to `wait` for the first one;
+    /// [`WatchResult::Compacted`] if the store is in a later era than the revision.
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<WatchResult, Error>;
 
     /// Writes or removes one key if the condition of `write` holds.
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -11,7 +11,7 @@
 mod hold;
 mod selection;
 
-use self::evidence::status;
+pub(crate) use self::evidence::{Answer, status};
 pub use self::evidence::{check_reachability, wait_until_released};
 use self::hold::PromotionLock;
 
@@ -290,6 +290,7 @@
             phase: Phase::Moving,
             from: from.clone(),
             holder: Arc::clone(&self.instance.settings().name),
+            change: self.next_change(service),
         };
         let release_record = self.write_record(service, &record).await?;
         self.wait_for_release(service, &release_record).await?;
@@ -302,6 +303,7 @@
         self.promote(service, &next, lock).await?;
         let record = PrimaryRecord {
             phase: Phase::Leading(Arc::clone(&next.id)),
+            change: record.change + 1,
             ..record
         };
         self.write_record(service, &record).await?;
@@ -317,6 +319,12 @@
         }
     }
 
+    fn next_change(&self, service: &str) -> u64 {
+        let view = self.instance.view.borrow();
+        let stored = view.primary_record(service);
+        stored.map_or(0, |stored| stored.record.change + 1)
+    }
+
     /// Writes the record of a service if no other instance has changed it, and applies it to the view.
     async fn write_record(
         &self,
@@ -324,7 +332,7 @@
         record: &PrimaryRecord,
     ) -> Result<Item, &'static str> {
         let key: Arc<str> = format!("{PRIMARY_RECORD_PREFIX}{service}").into();
-        let expected = self.instance.view.borrow().record_revision(service);
+        let expected = self.instance.view.borrow().stored_revision(&key);
         let value = encode(record).map_err(|_| "the record can't be encoded")?;
         if !self.renew_lock().await {
             return Err("the promotion lock was lost before the record was written");
@@ -444,6 +452,8 @@
         next: &Rc<Endpoint>,
         lock: PromotionLock,
     ) -> Result<(), &'static str> {
+        // A store that has returned from a copy holds the lock no longer, however recent the renewal.
+        self.expect_renewal().await;
         if !self.renew_lock().await {
             return Err("the promotion lock was lost before the promotion");
         }
--- a/crates/entry/src/succession/evidence.rs
+++ b/crates/entry/src/succession/evidence.rs
@@ -72,7 +72,7 @@
 
 /// Answer of a member to a request of the instance itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Answer {
+pub(crate) enum Answer {
     /// The member stated its status.
     Status(Status),
     /// The member runs but is too busy to answer; the position is one that its log has reached.
@@ -83,7 +83,7 @@
 
 impl Answer {
     /// Returns the status, if the member stated it.
-    pub(super) fn status(self) -> Option<Status> {
+    pub(crate) fn status(self) -> Option<Status> {
         match self {
             Self::Status(status) => Some(status),
             Self::Busy(_) | Self::Silent => None,
@@ -92,7 +92,7 @@
 }
 
 /// Queries the status of a member.
-pub(super) async fn status(instance: &Rc<Instance>, endpoint: &Rc<Endpoint>) -> Answer {
+pub(crate) async fn status(instance: &Rc<Instance>, endpoint: &Rc<Endpoint>) -> Answer {
     let request = Request::internal(RequestKind::Status);
     query(instance, endpoint, &request).await
 }
--- a/crates/entry/src/succession/hold.rs
+++ b/crates/entry/src/succession/hold.rs
@@ -22,6 +22,7 @@
     pub(super) fence: u64,
     lease: Lease,
     renewed_at: Instant,
+    is_renewal_due: bool,
 }
 
 impl Coordinator {
@@ -34,6 +35,7 @@
             match store.renew(lock.lease).await {
                 Ok(()) => {
                     lock.renewed_at = sent_at;
+                    lock.is_renewal_due = false;
                     return Ok(Some(*lock));
                 }
                 Err(error) => {
@@ -69,6 +71,7 @@
                     fence,
                     lease,
                     renewed_at,
+                    is_renewal_due: false,
                 };
                 *slot = Some(lock);
                 Ok(Some(lock))
@@ -77,6 +80,13 @@
         }
     }
 
+    /// Makes the next [`Coordinator::renew_lock`] ask the store.
+    pub(super) async fn expect_renewal(&self) {
+        if let Some(lock) = self.promotion_lock.lock().await.as_mut() {
+            lock.is_renewal_due = true;
+        }
+    }
+
     /// Renews the lock if that is due. Returns whether it is held for some time longer for certain.
     pub(super) async fn renew_lock(&self) -> bool {
         let mut slot = self.promotion_lock.lock().await;
@@ -84,12 +94,13 @@
             return false;
         };
         let now = self.instance.now();
-        if now < lock.renewed_at + LOCK_RENEWAL_INTERVAL {
+        if now < lock.renewed_at + LOCK_RENEWAL_INTERVAL && !lock.is_renewal_due {
             return true;
         }
         match self.instance.drivers.store.renew(lock.lease).await {
             Ok(()) => {
                 lock.renewed_at = now;
+                lock.is_renewal_due = false;
                 true
             }
             Err(error) if error.kind() == ErrorKind::Ended => {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -2,7 +2,10 @@
 //!
 //! The raw items are kept beside the decoded values, so that instances that can't reach the store
 //! can copy them. An item is only replaced by one of a higher revision, so the configuration never
-//! reverts while the process runs.
+//! reverts while the process runs. After the store has returned from a copy, [`remembered`] keeps what
+//! the copy may not take back.
+
+mod remembered;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,7 +20,7 @@
 
 use crate::catalog::Catalog;
 use crate::endpoint::Endpoint;
-use crate::store::{Dialect, Event, Item, KeyKind, Listing};
+use crate::store::{Dialect, Event, Item, KeyKind, Listing, era_of};
 
 /// Prefix of the keys that instances write.
 pub const PREFIX: &str = "filbertbay/";
@@ -34,6 +37,9 @@
 /// Key of the allocation of rate limit lanes to instances.
 pub const ALLOCATION_KEY: &str = "filbertbay/shares";
 
+/// Key of the newest era in which the records were confirmed, see [`crate::era`].
+pub const ERA_KEY: &str = "filbertbay/era";
+
 /// Age of the contact with the store up to which a change counts from when it is seen. The margin at
 /// the end of a drain period covers this age.
 const MAX_USUAL_CONTACT_AGE: Duration = Duration::from_millis(2_500);
@@ -60,12 +66,19 @@
     pub instance: Arc<str>,
 }
 
+/// Stored value of [`ERA_KEY`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ConfirmedEra {
+    /// Newest era whose records were compared with what the instances remember.
+    pub era: u64,
+}
+
 /// Record of a primary, with the revision at which it was written.
 #[derive(Clone, Debug)]
 pub struct VersionedRecord {
-    /// Record as stored.
+    /// Newest known record, which a store that returned from a copy may lack.
     pub record: PrimaryRecord,
-    /// Revision of the record.
+    /// Revision at which the record was first known; kept if it is written again unchanged.
     pub revision: u64,
 }
 
@@ -94,6 +107,8 @@
     PromotionLock,
     /// The allocation of rate limit lanes changed.
     Allocation,
+    /// The records of the era were confirmed.
+    EraConfirmed(u64),
     /// The value of the key is invalid, for the given reason.
     Unusable(Arc<str>, String),
 }
@@ -113,6 +128,7 @@
     removed_instances: BTreeMap<Arc<str>, (InstanceEntry, Instant)>,
     promotion_lock_holder: Option<(PromotionLockHolder, u64)>,
     allocation: Option<Arc<Allocation>>,
+    remembered: remembered::Remembered,
 }
 
 impl std::fmt::Debug for View {
@@ -141,6 +157,9 @@
         let revision = listing.revision;
         let gone = gone.map(|item| Event::Removed(Arc::clone(&item.key), revision));
         let events: Vec<Event> = gone.collect();
+        if era_of(revision) > self.era() {
+            self.remembered.begin_era(now);
+        }
         let mut changes = self.apply_events(now, events, 0, dialect);
         let puts = listing.items.into_iter().map(Event::Put).collect();
         changes.extend(self.apply_events(now, puts, revision, dialect));
@@ -162,10 +181,16 @@
                 Event::Put(item) => self.put(now, item, dialect, &mut changes),
                 Event::Removed(key, revision) => {
                     let known = self.items.get(&key).map(|item| item.revision);
-                    if known.is_some_and(|known| known <= revision) {
-                        self.items.remove(&key);
-                        self.remove(now, &key, dialect, &mut changes);
+                    let Some(known) = known.filter(|known| *known <= revision) else {
+                        continue;
+                    };
+                    let is_lost = era_of(revision) > era_of(known);
+                    if is_lost && self.keep_lost(now, &key, dialect) {
+                        continue;
                     }
+                    self.items.remove(&key);
+                    self.remembered.forget(&key);
+                    self.remove(now, &key, dialect, &mut changes);
                 }
             }
         }
@@ -174,10 +199,14 @@
     }
 
     fn put(&mut self, now: Instant, item: Item, dialect: &dyn Dialect, changes: &mut Vec<Change>) {
-        let known = self.items.get(&item.key).map_or(0, |item| item.revision);
-        if item.revision <= known {
+        let known = self.items.get(&item.key);
+        if known.is_some_and(|known| item.revision <= known.revision) {
+            return;
+        }
+        if self.keep_newer(now, &item, dialect) {
             return;
         }
+        self.remembered.forget(&item.key);
         let key = Arc::clone(&item.key);
         let change = match dialect.classify_key(&key) {
             KeyKind::Catalog => self.put_catalog(&item, dialect),
@@ -256,6 +285,10 @@
             let service: Arc<str> = service.into();
             let record = serde_json::from_slice(&item.value).map_err(unreadable)?;
             let revision = item.revision;
+            let known = self.primary_records.get(&service);
+            if known.is_some_and(|known| known.record == record) {
+                return Ok(None);
+            }
             self.primary_records
                 .insert(Arc::clone(&service), VersionedRecord { record, revision });
             return Ok(Some(Change::PrimaryRecord(service)));
@@ -280,6 +313,12 @@
             self.allocation = Some(Arc::new(allocation));
             return Ok(Some(Change::Allocation));
         }
+        if key == ERA_KEY {
+            let confirmed: ConfirmedEra =
+                serde_json::from_slice(&item.value).map_err(unreadable)?;
+            self.remembered.confirm_era(confirmed.era);
+            return Ok(Some(Change::EraConfirmed(confirmed.era)));
+        }
         Ok(None)
     }
 
@@ -334,6 +373,9 @@
     pub fn expire(&mut self, now: Instant, is_connected: bool) -> Vec<Arc<str>> {
         self.removed_instances
             .retain(|_, (_, since)| now < *since + MAX_PRIMARY_LEASE);
+        for data_centre in self.remembered.expire_evacuations(now) {
+            self.evacuated.remove(&data_centre);
+        }
         if !is_connected {
             return Vec::new();
         }
@@ -415,7 +457,13 @@
         self.primary_records.get(service)
     }
 
-    /// Returns the revision of the record of a service's primary, zero if there is none.
+    /// Returns the revision at which the store holds a key, zero if it doesn't.
+    pub fn stored_revision(&self, key: &str) -> u64 {
+        self.items.get(key).map_or(0, |item| item.revision)
+    }
+
+    /// Returns the revision at which the record of a service's primary was first known, zero if there is
+    /// none. Differs from the stored revision after the record was written again unchanged.
     pub fn record_revision(&self, service: &str) -> u64 {
         self.primary_records
             .get(service)
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -18,9 +18,12 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use slog::{debug, info, warn};
 
+use crate::era;
 use crate::instance::Instance;
 use crate::peer::{NO_ITEMS, ViewSnapshot};
-use crate::store::{ConditionalWrite, Error, ErrorKind, Lease, Listing, WatchResult, WriteOutcome};
+use crate::store::{
+    ConditionalWrite, Error, ErrorKind, Lease, Listing, WatchResult, WriteOutcome, era_of,
+};
 use crate::task;
 use crate::view::{INSTANCE_PREFIX, InstanceEntry};
 
@@ -144,9 +147,11 @@
     } else {
         queried_at
     };
-    apply_snapshot(instance, known_at, snapshot, watcher);
-    log_store_state(instance, None);
-    true
+    let is_applied = apply_snapshot(instance, known_at, snapshot, watcher);
+    if is_applied {
+        log_store_state(instance, None);
+    }
+    is_applied
 }
 
 /// Returns a random watcher of the data centre, or `None` if this instance watches the store itself.
@@ -273,8 +278,7 @@
     let mut answered = 0;
     for (peer, result) in peers.iter().zip(snapshots) {
         if let Ok(Some(snapshot)) = result {
-            answered += 1;
-            apply_snapshot(instance, queried_at, snapshot, *peer);
+            answered += usize::from(apply_snapshot(instance, queried_at, snapshot, *peer));
         }
     }
     answered
@@ -308,22 +312,28 @@
         .filter(|(_, reply)| reply.revision <= known);
     let mut count = 0;
     for (peer, reply) in confirming {
-        count += 1;
-        apply_snapshot(instance, queried_at, reply, peer);
+        count += usize::from(apply_snapshot(instance, queried_at, reply, peer));
     }
     count
 }
 
-/// Applies a snapshot of a peer, dated back by its age.
+/// Applies a snapshot of a peer, dated back by its age. Returns false if it shows no current state,
+/// because the peer has not seen the era of the store that this instance knows.
 fn apply_snapshot(
     instance: &Rc<Instance>,
     queried_at: Instant,
     snapshot: ViewSnapshot,
     from: SocketAddr,
-) {
+) -> bool {
+    let era = instance.view.borrow().era();
     let Some(known_at) = queried_at.checked_sub(snapshot.age) else {
-        return;
+        return false;
     };
+    if era_of(snapshot.revision) < era {
+        debug!(instance.log, "view of an earlier era ignored"; "peer" => %from,
+            "revision" => snapshot.revision, "era" => era);
+        return false;
+    }
     match snapshot.items {
         Some(items) => {
             debug!(instance.log, "view updated from another instance"; "peer" => %from,
@@ -333,6 +343,7 @@
         }
         None => instance.apply_events(known_at, Vec::new(), 0),
     }
+    true
 }
 
 /// Returns the addresses of the other instances in random order, those of this data centre first,
@@ -420,6 +431,13 @@
                 warn!(instance.log, "entry of this instance vanished");
                 return;
             }
+            () = era::wait_for_later(instance, lease.era) => {
+                warn!(instance.log, "entry of this instance is of an earlier era of the store";
+                    "era" => lease.era);
+                let spread = era::spread(instance);
+                tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
+                return;
+            }
             _ = phase.wait_for(|phase| *phase != crate::instance::Phase::Serving) => return,
         }
         let renewed = instance.drivers.store.renew(lease).await;
