--- a/crates/filbertbay/tests/soak/fault.rs
+++ b/crates/filbertbay/tests/soak/fault.rs
@@ -21,10 +21,24 @@
 /// Time until a crashed member or one with stalled replication recovers; one member stays up.
 const MEMBER_FAULT_DURATION: Duration = Duration::from_millis(2_500);
 
+/// Time between two returns of the store from a copy, in milliseconds.
+const RETURN_INTERVAL_MS: std::ops::Range<u64> = 1_500..6_000;
+
+/// Time for which the store is away before it returns, and until its other writers write again, in
+/// milliseconds.
+const RETURN_AWAY_MS: std::ops::Range<u64> = 50..700;
+
+/// Age of the copy, in milliseconds.
+const RETURN_AGE_MS: std::ops::Range<u64> = 100..5_000;
+
 /// Injects faults for `run_duration`, then waits until all of them have ended.
 pub async fn inject(soak: &Rc<Soak>, mut rng: ChaCha8Rng, run_duration: Duration) {
     let deadline = tokio::time::Instant::now() + run_duration;
     let mut faults = tokio::task::JoinSet::new();
+    // Another stream, so that a seed still plays the faults that it played before there were eras.
+    let mut returns = rng.clone();
+    returns.set_stream(1);
+    faults.spawn_local(return_store(Rc::clone(soak), returns, deadline));
     // Only one member fails at a time: with two of three down, correctness is guaranteed but not
     // availability.
     let member_lock = Rc::new(Mutex::new(()));
@@ -154,6 +168,24 @@
     soak.cluster.platform.set_mode(StoreMode::Serving);
 }
 
+/// Takes the store away for a moment, again and again, and returns it from a copy some seconds old.
+async fn return_store(soak: Rc<Soak>, mut rng: ChaCha8Rng, deadline: tokio::time::Instant) {
+    let mut random = |range| Duration::from_millis(rng.random_range(range));
+    loop {
+        tokio::time::sleep(random(RETURN_INTERVAL_MS)).await;
+        if tokio::time::Instant::now() >= deadline {
+            return;
+        }
+        let (away, age) = (random(RETURN_AWAY_MS), random(RETURN_AGE_MS));
+        let rewrite_delay = random(RETURN_AWAY_MS);
+        soak.cluster.platform.set_mode(StoreMode::Unavailable);
+        tokio::time::sleep(away).await;
+        soak.record_event(&format!("the store returns from a copy {age:?} old"));
+        soak.cluster.platform.return_from_copy(age, rewrite_delay);
+        soak.cluster.platform.set_mode(StoreMode::Serving);
+    }
+}
+
 /// Blackholes the connections of callers to an instance, or those of all instances to a member.
 async fn blackhole(
     soak: Rc<Soak>,
