--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -103,6 +103,7 @@
     freshness::spawn(&instance);
     succession::spawn(&instance);
     usage::spawn(&instance);
+    crate::era::spawn(&instance);
     health::serve_readiness(readiness, &readiness_path, &instance);
     health::serve_metrics(metrics, &instance);
     let session_tokens = Rc::new(());
--- a/crates/entry/src/lock.rs
+++ b/crates/entry/src/lock.rs
@@ -37,6 +37,8 @@
     pub since: Instant,
     lease: Lease,
     renewed_at: Instant,
+    /// Whether the next renewal must ask the store, whatever the time since the last one.
+    is_renewal_due: bool,
 }
 
 /// Exclusive lock of which at most one instance is the holder.
@@ -68,6 +70,7 @@
             match store.renew(held.lease).await {
                 Ok(()) => {
                     held.renewed_at = sent_at;
+                    held.is_renewal_due = false;
                     if self.terms.is_valid(held, instance.now()) {
                         return Ok(Some(*held));
                     }
@@ -106,6 +109,7 @@
             since,
             lease,
             renewed_at,
+            is_renewal_due: false,
         };
         *slot = Some(held);
         Ok(self.terms.is_valid(&held, since).then_some(held))
@@ -116,9 +120,12 @@
         let mut slot = self.held.lock().await;
         let held = slot.as_mut()?;
         let sent_at = instance.now();
-        if sent_at >= held.renewed_at + self.terms.renewal_interval {
+        if held.is_renewal_due || sent_at >= held.renewed_at + self.terms.renewal_interval {
             match instance.drivers.store.renew(held.lease).await {
-                Ok(()) => held.renewed_at = sent_at,
+                Ok(()) => {
+                    held.renewed_at = sent_at;
+                    held.is_renewal_due = false;
+                }
                 Err(error) if error.kind() == ErrorKind::Ended => {
                     info!(instance.log, "lock expired"; "key" => self.terms.key, "error" => %error);
                     *slot = None;
@@ -134,6 +141,13 @@
         self.terms.is_valid(held, instance.now()).then_some(*held)
     }
 
+    /// Makes the next [`Lock::renew`] ask the store.
+    pub async fn expect_renewal(&self) {
+        if let Some(held) = self.held.lock().await.as_mut() {
+            held.is_renewal_due = true;
+        }
+    }
+
     /// Returns whether this instance has not lost the lock, although it may not be valid now.
     pub async fn is_held(&self) -> bool {
         self.held.lock().await.is_some()
