--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod authority;
 pub mod contact;
 pub mod drain;
+pub mod egress;
 pub mod freshness;
 pub mod limit;
 pub mod membership;
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use filbertbay_state::position::Position;
+use serde::{Deserialize, Serialize};
 
 use crate::endpoint::Access;
 
@@ -78,7 +79,7 @@
 }
 
 /// Transaction state of a session after an answer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// No transaction is open.
     #[default]
@@ -90,7 +91,18 @@
 }
 
 /// Reason of a refusal.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, strum::Display, strum::IntoStaticStr)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    PartialEq,
+    Hash,
+    strum::Display,
+    strum::IntoStaticStr,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Code {
     /// Not run: no capacity.
@@ -139,7 +151,7 @@
 }
 
 /// Refusal of a statement or a session.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Reason of the refusal, for programs.
     pub code: Code,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,7 +14,7 @@
 use crate::instance::{Drivers, Instance, Phase};
 use crate::session;
 use crate::settings::Settings;
-use crate::{freshness, health, peer, quota, succession, watcher};
+use crate::{forward, freshness, health, peer, quota, succession, watcher};
 
 /// Interval at which the number of open sessions is polled during shutdown.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -101,6 +101,7 @@
     watcher::spawn(&instance);
     quota::spawn(&instance);
     freshness::spawn(&instance);
+    forward::lease::spawn(&instance);
     succession::spawn(&instance);
     health::serve_readiness(readiness, &readiness_path, &instance);
     health::serve_metrics(metrics, &instance);
@@ -218,7 +219,8 @@
     // A caller accepted after this point would be disconnected by the exit of the process.
     accept_task.abort();
     let _ = accept_task.await;
-    while session_count(session_tokens) > 0 && instance.now() < schedule.exit_at() {
+    let is_in_use = || session_count(session_tokens) > 0 || instance.forwards.leases.is_in_use();
+    while is_in_use() && instance.now() < schedule.exit_at() {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let open_sessions = session_count(session_tokens);
--- a/crates/entry/src/endpoint.rs
+++ b/crates/entry/src/endpoint.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use filbertbay_state::position::{Position, Term};
 use filbertbay_state::status::Role;
+use serde::{Deserialize, Serialize};
 
 use crate::caller::{Refusal, TransactionState};
 
@@ -34,7 +35,7 @@
 }
 
 /// Whether a prepared statement reads or writes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Access {
     /// The statement reads.
     Read,
--- /dev/null
+++ b/crates/entry/src/execution.rs
@@ -0,0 +1,391 @@
+//! Runs one statement on one endpoint, without a session.
+//!
+//! Sessions run statements this way on connections of their own instance, and instances run the
+//! statements that others forward to them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use filbertbay_state::position::Position;
+use serde::{Deserialize, Serialize};
+use slog::debug;
+
+use crate::caller::{Code, Refusal, TransactionState};
+use crate::endpoint::{Access, Reply, Request, RequestKind};
+use crate::instance::Instance;
+use crate::pool::{AcquireError, EndpointPool, InFlightGuard, PooledConnection, SessionState};
+
+/// Longest wait for the reply to a rollback, after which the connection is closed.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Statement of a caller, with the session state that it needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Work<'a> {
+    /// Id that the caller assigned.
+    pub id: &'a str,
+    /// Text as received; not used if the statement is prepared.
+    pub text: &'a str,
+    /// Whether the statement reads or writes; a commit counts as a read.
+    pub access: Access,
+    /// Template and arguments of a prepared statement.
+    pub prepared: Option<(&'a Arc<str>, &'a str)>,
+    /// Session values that the caller set.
+    pub values: &'a BTreeMap<Arc<str>, Arc<str>>,
+}
+
+impl<'a> Work<'a> {
+    /// Returns the request to an endpoint. `name` is the name of the prepared statement on the
+    /// connection, if it is one.
+    fn request<'r>(&'r self, name: Option<&'r str>, min_position: Option<Position>) -> Request<'r> {
+        let kind = match (self.prepared, name) {
+            (Some((_, arguments)), Some(name)) => RequestKind::Execute(name, arguments),
+            _ => RequestKind::Text(self.text),
+        };
+        Request {
+            id: Some(self.id),
+            min_position,
+            kind,
+        }
+    }
+
+    fn state(&self) -> SessionState<'a> {
+        SessionState {
+            values: self.values,
+            prepared: self.prepared.map(|(template, _)| (self.access, template)),
+        }
+    }
+}
+
+/// Primary of a service, with the revision of the stored record that names it.
+#[derive(Clone, Debug)]
+pub struct PrimaryRef {
+    /// Service of the primary.
+    pub service: Arc<str>,
+    /// Endpoint that is the primary.
+    pub endpoint: Arc<str>,
+    /// Revision of the record; zero if there is none.
+    pub revision: u64,
+}
+
+impl PrimaryRef {
+    /// Records the position that the endpoint reported, if the same record still names it primary.
+    pub fn record_position(&self, instance: &Instance, sent_at: Instant, position: Position) {
+        instance.record_position(
+            &self.service,
+            &self.endpoint,
+            self.revision,
+            sent_at,
+            position,
+        );
+    }
+
+    /// Returns whether the instance may use this primary: its primary lease is valid and the same
+    /// record still names it.
+    pub fn is_current(&self, instance: &Instance) -> bool {
+        let primary = instance.primary(&self.service);
+        let view = instance.view.borrow();
+        primary.as_ref() == Some(&self.endpoint)
+            && view.record_revision(&self.service) == self.revision
+    }
+}
+
+/// Statement outside a transaction, or the first of one, with all that its endpoint needs.
+#[derive(Clone, Debug)]
+pub struct Execution<'a> {
+    /// Statement to run.
+    pub work: Work<'a>,
+    /// Workspace whose connection is used.
+    pub workspace: &'a Arc<str>,
+    /// Priority in the queue for a connection; 0 is the highest.
+    pub priority: u8,
+    /// Connections that this instance may have open to the endpoint; zero allows one.
+    pub limit: usize,
+    /// Position that the endpoint must have reached.
+    pub min_position: Option<Position>,
+    /// For the first statement of a transaction, whether that is read-only.
+    pub begin: Option<bool>,
+    /// Primary that the endpoint must still be.
+    pub primary_ref: Option<&'a PrimaryRef>,
+    /// End of the wait for a connection.
+    pub queue_end: Instant,
+    /// End of the wait for the reply.
+    pub deadline: Instant,
+}
+
+/// Successful reply of an endpoint, and the connection on which it came.
+#[derive(Debug)]
+pub struct Executed {
+    /// Reply of the endpoint.
+    pub reply: Reply,
+    /// Connection, with an open transaction if the statement began one.
+    pub connection: PooledConnection,
+}
+
+/// Why an attempt did not succeed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum AttemptError {
+    /// The statement certainly did not run.
+    NotRun(Code),
+    /// The statement certainly did not run, because the endpoint could not be reached.
+    Unreachable,
+    /// The statement ran and failed, or the refusal's code states its outcome.
+    Failed(Refusal),
+    /// The statement may or may not have run.
+    OutcomeUnknown(Problem),
+}
+
+/// Why no reply to a statement came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, Serialize, Deserialize)]
+pub enum Problem {
+    /// The primary that the statement relied on is being replaced.
+    #[strum(to_string = "the primary is being changed")]
+    PrimaryChanging,
+    /// The connection to the endpoint broke.
+    #[strum(to_string = "the connection to the endpoint broke")]
+    ConnectionBroke,
+    /// The endpoint did not answer before the deadline.
+    #[strum(to_string = "the endpoint did not answer in time")]
+    NoAnswer,
+    /// The endpoint ran the read and reported a failure.
+    #[strum(to_string = "the endpoint failed the read")]
+    ReadFailed,
+    /// The instance that the statement was forwarded to did not answer.
+    #[strum(to_string = "the egress instance did not answer")]
+    EgressLost,
+    /// The transaction was rolled back before the statement reached it, so the statement did not
+    /// run.
+    #[strum(to_string = "the transaction was rolled back at the egress instance")]
+    LeaseEnded,
+}
+
+impl Problem {
+    /// Returns whether the endpoint's failure detector counts this.
+    pub fn is_endpoint_failure(self) -> bool {
+        matches!(self, Self::ConnectionBroke | Self::NoAnswer)
+    }
+}
+
+/// Runs a statement on an endpoint.
+///
+/// # Errors
+///
+/// Returns an error that states whether the statement may have run.
+pub async fn execute(
+    instance: &Rc<Instance>,
+    endpoint_pool: &Rc<EndpointPool>,
+    execution: &Execution<'_>,
+) -> Result<Executed, AttemptError> {
+    let acquired = instance.pool.acquire(
+        endpoint_pool,
+        execution.workspace,
+        execution.limit,
+        execution.priority,
+        execution.queue_end,
+    );
+    let mut connection = match acquired.await {
+        Ok(connection) => connection,
+        Err(AcquireError::Busy) => return Err(AttemptError::NotRun(Code::TooManyConnections)),
+        Err(AcquireError::Refused(code)) => return Err(AttemptError::NotRun(code)),
+        Err(AcquireError::Unreachable(problem)) => {
+            let endpoint = endpoint_pool.endpoint();
+            debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
+                "problem" => problem);
+            instance.primary_suspected.notify_one();
+            return Err(AttemptError::Unreachable);
+        }
+    };
+    let primary_ref = execution.primary_ref;
+    let primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+    // The primary may have changed during the wait for a connection.
+    if primary_ref.is_some_and(|primary| !primary.is_current(instance)) {
+        connection.release();
+        return Err(AttemptError::NotRun(Code::Busy));
+    }
+    let reply = exchange_before(instance, endpoint_pool, execution, &mut connection).await?;
+    drop(primary_use);
+    match &reply.result {
+        Ok(_) => Ok(Executed { reply, connection }),
+        Err(refusal) => {
+            let error = classify_refusal(execution, endpoint_pool, refusal, instance.now());
+            if reply.state == TransactionState::Idle {
+                connection.release();
+            } else {
+                roll_back(connection);
+            }
+            Err(error)
+        }
+    }
+}
+
+/// Runs a statement of an open transaction on its connection.
+///
+/// # Errors
+///
+/// Returns the cause if no answer came before `deadline`; the connection must then be dropped.
+pub async fn execute_next(
+    instance: &Rc<Instance>,
+    connection: &mut PooledConnection,
+    primary_ref: Option<&PrimaryRef>,
+    work: Work<'_>,
+    deadline: Instant,
+) -> Result<Reply, Problem> {
+    let endpoint_pool = Rc::clone(connection.endpoint_pool());
+    let mut aborts = endpoint_pool.subscribe_aborts();
+    let _in_flight = InFlightGuard::new(&endpoint_pool);
+    let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+    let sent_at = instance.now();
+    let limit = deadline.saturating_duration_since(sent_at);
+    let running = async {
+        let name = connection.apply_session_state(work.state()).await?;
+        connection.run(&work.request(name.as_deref(), None)).await
+    };
+    let outcome = tokio::select! {
+        outcome = tokio::time::timeout(limit, running) => outcome,
+        _ = aborts.changed() => return Err(Problem::PrimaryChanging),
+    };
+    let now = instance.now();
+    match outcome {
+        Ok(Ok(reply)) => {
+            endpoint_pool.record_answer(now);
+            endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
+            if let (Some(primary), Some(position)) = (primary_ref, reply.position) {
+                primary.record_position(instance, sent_at, position);
+            }
+            Ok(reply)
+        }
+        Ok(Err(_)) => {
+            endpoint_pool.record_failure(now);
+            instance.primary_suspected.notify_one();
+            Err(Problem::ConnectionBroke)
+        }
+        Err(_) => {
+            endpoint_pool.record_failure(now);
+            instance.primary_suspected.notify_one();
+            Err(Problem::NoAnswer)
+        }
+    }
+}
+
+/// Rolls back the transaction on a connection in the background, then returns the connection to the
+/// pool.
+pub fn roll_back(mut connection: PooledConnection) {
+    tokio::task::spawn_local(async move {
+        let request = Request::internal(RequestKind::Rollback);
+        let reply = tokio::time::timeout(ROLLBACK_TIMEOUT, connection.run(&request)).await;
+        let is_clean = matches!(&reply, Ok(Ok(reply)) if reply.state == TransactionState::Idle);
+        // Otherwise the connection is closed, on which the endpoint rolls back as well.
+        if is_clean {
+            connection.release();
+        }
+    });
+}
+
+async fn exchange_before(
+    instance: &Rc<Instance>,
+    endpoint_pool: &Rc<EndpointPool>,
+    execution: &Execution<'_>,
+    connection: &mut PooledConnection,
+) -> Result<Reply, AttemptError> {
+    let _in_flight = InFlightGuard::new(endpoint_pool);
+    let mut aborts = endpoint_pool.subscribe_aborts();
+    let sent_at = instance.now();
+    let limit = execution.deadline.saturating_duration_since(sent_at);
+    let running = exchange(execution, connection);
+    let unknown = |problem| Err(AttemptError::OutcomeUnknown(problem));
+    let outcome = tokio::select! {
+        outcome = tokio::time::timeout(limit, running) => outcome,
+        _ = aborts.changed() => return unknown(Problem::PrimaryChanging),
+    };
+    let now = instance.now();
+    let reply = match outcome {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(ConnectionLost::BeforeSend)) => {
+            endpoint_pool.record_failure(now);
+            return Err(AttemptError::NotRun(Code::Busy));
+        }
+        Ok(Err(ConnectionLost::AfterSend)) => {
+            endpoint_pool.record_failure(now);
+            return unknown(Problem::ConnectionBroke);
+        }
+        Err(_) => {
+            endpoint_pool.record_failure(now);
+            return unknown(Problem::NoAnswer);
+        }
+    };
+    endpoint_pool.record_answer(now);
+    if let (Some(primary), Some(position)) = (execution.primary_ref, reply.position) {
+        primary.record_position(instance, sent_at, position);
+    }
+    if reply.result.is_ok() {
+        endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
+    }
+    Ok(reply)
+}
+
+/// Sends the statement, preceded by `BEGIN` if it is the first of a transaction.
+async fn exchange(
+    execution: &Execution<'_>,
+    connection: &mut PooledConnection,
+) -> Result<Reply, ConnectionLost> {
+    let work = &execution.work;
+    let name = connection
+        .apply_session_state(work.state())
+        .await
+        .map_err(|_| ConnectionLost::BeforeSend)?;
+    let Some(read_only) = execution.begin else {
+        let request = work.request(name.as_deref(), execution.min_position);
+        return connection
+            .run(&request)
+            .await
+            .map_err(|_| ConnectionLost::AfterSend);
+    };
+    let begin_request = Request {
+        id: None,
+        min_position: execution.min_position,
+        kind: RequestKind::Begin { read_only },
+    };
+    let reply = connection
+        .run(&begin_request)
+        .await
+        .map_err(|_| ConnectionLost::BeforeSend)?;
+    if reply.result.is_err() {
+        return Ok(reply);
+    }
+    let request = work.request(name.as_deref(), None);
+    // The endpoint rolls back a transaction whose connection breaks before the commit.
+    connection
+        .run(&request)
+        .await
+        .map_err(|_| ConnectionLost::AfterSend)
+}
+
+/// Converts a refusal to the error of the attempt, and records the position that a lagging replica
+/// had not reached.
+fn classify_refusal(
+    execution: &Execution<'_>,
+    endpoint_pool: &EndpointPool,
+    refusal: &Refusal,
+    now: Instant,
+) -> AttemptError {
+    if refusal.code == Code::Lagging
+        && let Some(min_position) = execution.min_position
+    {
+        endpoint_pool.record_missing_position(now, min_position);
+    }
+    if refusal.code.is_not_run() {
+        return AttemptError::NotRun(refusal.code);
+    }
+    if execution.work.access == Access::Read && refusal.code == Code::Failed {
+        return AttemptError::OutcomeUnknown(Problem::ReadFailed);
+    }
+    AttemptError::Failed(refusal.clone())
+}
+
+/// Connection to an endpoint that broke before or after the statement was sent.
+#[derive(Clone, Copy, Debug)]
+enum ConnectionLost {
+    BeforeSend,
+    AfterSend,
+}
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -15,6 +15,7 @@
 use crate::catalog::{Catalog, Route, Workspace};
 use crate::clock::Clock;
 use crate::endpoint::{Connector, Endpoint};
+use crate::forward::{self, Forwards};
 use crate::freshness::Watermarks;
 use crate::peer::Peers;
 use crate::pool::{EndpointPool, Pool};
@@ -105,6 +106,8 @@
     pub pool: Pool,
     /// Connections to other instances.
     pub peers: Peers,
+    /// Statements that pass between instances.
+    pub forwards: Forwards,
     /// Rate limits of the workspaces.
     pub quota: Quota,
     /// Positions of primaries that prove the freshness of replicas.
@@ -138,6 +141,7 @@
         Rc::new(Self {
             pool: Pool::new(Rc::clone(&drivers.connector), clock),
             peers: Peers::default(),
+            forwards: Forwards::default(),
             quota,
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
@@ -265,11 +269,19 @@
                 _ => {}
             }
         }
+        let changes_plans = |change: &Change| {
+            matches!(
+                change,
+                Change::Catalog(_) | Change::Instance(_) | Change::Endpoint(_)
+            )
+        };
+        if changes.iter().any(changes_plans) {
+            self.forwards.discard_plans();
+        }
         let changes_limits =
             |change: &Change| matches!(change, Change::Catalog(_) | Change::Instance(_));
         if changes.iter().any(changes_limits) {
-            self.pool
-                .apply_limits(|endpoint| self.connection_limit(&endpoint.service));
+            self.pool.apply_limits(|endpoint| self.allot(endpoint));
         }
         self.view_changed.send_modify(|count| *count += 1);
     }
@@ -465,17 +477,13 @@
         endpoint_pool.expected_latency(now, default)
     }
 
-    /// Returns this instance's equal share of the connections that an endpoint accepts; zero if the
-    /// endpoint accepts fewer connections than there are instances.
-    pub fn connection_limit(&self, service: &str) -> usize {
-        let Some(catalog) = self.catalog() else {
-            return 1;
-        };
-        let total = catalog
-            .services
-            .get(service)
-            .map_or(1, |service| service.max_connections);
-        let instances = self.view.borrow().peers().len().max(1);
-        total / instances
+    /// Returns how many connections this instance keeps to an endpoint, zero if it only opens one when
+    /// no egress instance answers, and tells the endpoint's pool how many of them to keep idle.
+    pub fn allot(&self, endpoint: &Rc<Endpoint>) -> usize {
+        let plan = forward::plan(self, endpoint);
+        let allotment = plan.allotment(&self.settings().name);
+        let endpoint_pool = self.pool.for_endpoint(endpoint);
+        endpoint_pool.keep_all_idle(!plan.is_direct() && allotment > 0);
+        allotment
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod clock;
 pub mod daemon;
 pub mod endpoint;
+pub mod execution;
+pub mod forward;
 pub mod freshness;
 pub mod health;
 pub mod instance;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -9,6 +9,9 @@
 //! | `reach` | whether another instance gets answers from an endpoint |
 //! | `share` | messages of the rate limiters about loans of tokens |
 //! | `watermarks` | exchanges the positions of primaries that prove the freshness of replicas |
+//! | `forward`, `forward_next`, `forward_end` | runs statements on connections of the called instance |
+//!
+//! Forwarded statements have a connection of their own, so that slow ones delay no other call.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -28,6 +31,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::forward::{self, ForwardError, ForwardReply, Forwarded, ForwardedStatement};
 use crate::freshness;
 use crate::instance::Instance;
 use crate::store::{Item, Lease};
@@ -37,7 +41,7 @@
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
 /// Requests of one connection that are handled concurrently.
-const MAX_CONCURRENT_REQUESTS: usize = 64;
+const MAX_CONCURRENT_REQUESTS: usize = 256;
 
 /// Timeout of a connection attempt, more than three round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -133,10 +137,21 @@
     /// Records watermarks whose times are on the clock of `incarnation` of this instance, and returns
     /// those that this instance knows.
     async fn watermarks(incarnation: u64, reported: Vec<Watermark>) -> WatermarkReply;
+    /// Runs a statement on a connection of this instance, and keeps that for the transaction that the
+    /// statement began.
+    async fn forward(statement: Forwarded) -> Result<ForwardReply, ForwardError>;
+    /// Runs the next statement of a forwarded transaction.
+    async fn forward_next(
+        lease: u64,
+        statement: ForwardedStatement,
+    ) -> Result<ForwardReply, ForwardError>;
+    /// Rolls a forwarded transaction back.
+    async fn forward_end(lease: u64);
 }
 
+/// Serves the calls of one connection of another instance.
 #[derive(Clone)]
-struct Service(Rc<Instance>);
+struct Service(Rc<Instance>, forward::ConnectionId);
 
 impl Peer for Service {
     async fn view(self, _: context::Context, seen: u64) -> Option<ViewSnapshot> {
@@ -188,6 +203,27 @@
     ) -> WatermarkReply {
         freshness::handle_report(&self.0, incarnation, &reported)
     }
+
+    async fn forward(
+        self,
+        _: context::Context,
+        statement: Forwarded,
+    ) -> Result<ForwardReply, ForwardError> {
+        forward::lease::handle_first(&self.0, self.1, statement).await
+    }
+
+    async fn forward_next(
+        self,
+        _: context::Context,
+        lease: u64,
+        statement: ForwardedStatement,
+    ) -> Result<ForwardReply, ForwardError> {
+        forward::lease::handle_next(&self.0, self.1, lease, statement).await
+    }
+
+    async fn forward_end(self, _: context::Context, lease: u64) {
+        forward::lease::handle_end(&self.0, self.1, lease);
+    }
 }
 
 fn snapshot_newer_than(instance: &Instance, seen: u64) -> Option<ViewSnapshot> {
@@ -212,7 +248,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let service = Service(Rc::clone(&instance));
+                    let connection = instance.forwards.leases.next_connection();
+                    let service = Service(Rc::clone(&instance), connection);
                     tokio::task::spawn_local(serve_connection(stream, service));
                 }
                 Err(error) => {
@@ -229,12 +266,14 @@
     if let Err(error) = crate::socket::configure(&stream) {
         info!(service.0.log, "socket options of a peer connection not set"; "error" => %error);
     }
+    let (instance, connection) = (Rc::clone(&service.0), service.1);
     let framed = codec().new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(service.serve());
     requests
         .for_each_concurrent(MAX_CONCURRENT_REQUESTS, |request| request)
         .await;
+    forward::lease::handle_disconnect(&instance, connection);
 }
 
 fn codec() -> tokio_util::codec::length_delimited::Builder {
@@ -253,24 +292,103 @@
     Unanswered,
 }
 
+/// Client of another instance over one connection.
+#[derive(Clone)]
+pub struct Client {
+    calls: PeerClient,
+    is_closed: Rc<Cell<bool>>,
+}
+
+impl std::fmt::Debug for Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Client").finish_non_exhaustive()
+    }
+}
+
+impl Client {
+    /// Forwards a statement.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived within `timeout`; the statement may run then.
+    pub async fn forward(
+        &self,
+        timeout: Duration,
+        statement: Forwarded,
+    ) -> Result<Result<ForwardReply, ForwardError>, CallError> {
+        self.call(timeout, async move |client, context| {
+            client.forward(context, statement).await
+        })
+        .await
+    }
+
+    /// Forwards the next statement of a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived within `timeout`; the statement may run then.
+    pub async fn forward_next(
+        &self,
+        timeout: Duration,
+        lease: u64,
+        statement: ForwardedStatement,
+    ) -> Result<Result<ForwardReply, ForwardError>, CallError> {
+        self.call(timeout, async move |client, context| {
+            client.forward_next(context, lease, statement).await
+        })
+        .await
+    }
+
+    /// Rolls a forwarded transaction back.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived; the lease ends by its timeout then.
+    pub async fn forward_end(&self, lease: u64) -> Result<(), CallError> {
+        self.call(VIEW_TIMEOUT, async move |client, context| {
+            client.forward_end(context, lease).await
+        })
+        .await
+    }
+
+    async fn call<F, T>(&self, timeout: Duration, call: F) -> Result<T, CallError>
+    where
+        F: AsyncFnOnce(PeerClient, context::Context) -> Result<T, client::RpcError>,
+    {
+        let mut context = context::current();
+        context.deadline = Instant::now() + timeout;
+        let answer = tokio::time::timeout(timeout, call(self.calls.clone(), context));
+        match answer.await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) | Err(_) => Err(CallError::Unanswered),
+        }
+    }
+}
+
 /// Connection to one instance.
 #[derive(Default)]
 struct PeerConnection {
-    client: RefCell<Option<PeerClient>>,
+    client: RefCell<Option<Client>>,
     /// Serialises connection attempts; concurrent calls wait for the first one.
     connecting: tokio::sync::Mutex<()>,
     failed_at: Cell<Option<Instant>>,
 }
 
 impl PeerConnection {
+    /// Returns the client of an open connection.
+    fn open_client(&self) -> Option<Client> {
+        let client = self.client.borrow().clone();
+        client.filter(|client| !client.is_closed.get())
+    }
+
     /// Returns the client, connecting first if there is none.
-    async fn client(&self, to: SocketAddr) -> Result<PeerClient, CallError> {
-        if let Some(client) = self.client.borrow().as_ref() {
-            return Ok(client.clone());
+    async fn client(&self, to: SocketAddr) -> Result<Client, CallError> {
+        if let Some(client) = self.open_client() {
+            return Ok(client);
         }
         let _turn = self.connecting.lock().await;
-        if let Some(client) = self.client.borrow().as_ref() {
-            return Ok(client.clone());
+        if let Some(client) = self.open_client() {
+            return Ok(client);
         }
         // Calls that waited for a failed attempt must not repeat it one after another.
         if self
@@ -297,6 +415,8 @@
 #[derive(Default)]
 pub struct Peers {
     connections: RefCell<BTreeMap<SocketAddr, Rc<PeerConnection>>>,
+    /// Connections for forwarded statements.
+    forwards: RefCell<BTreeMap<SocketAddr, Rc<PeerConnection>>>,
 }
 
 impl std::fmt::Debug for Peers {
@@ -319,6 +439,14 @@
         .await
     }
 
+    /// Returns whether an instance answers within `timeout`.
+    pub async fn is_alive(&self, to: SocketAddr, timeout: Duration) -> bool {
+        let answer = self.call(to, timeout, async move |client, context| {
+            client.view(context, NO_ITEMS).await
+        });
+        answer.await.is_ok()
+    }
+
     /// Like [`Peers::view`], but waits up to `wait` for a revision above `seen`.
     ///
     /// # Errors
@@ -413,6 +541,23 @@
         .await
     }
 
+    /// Returns a client for forwarded statements, connecting first if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no connection could be opened, so that nothing was sent.
+    pub async fn forward_client(&self, to: SocketAddr) -> Result<Client, CallError> {
+        let connection = Rc::clone(self.forwards.borrow_mut().entry(to).or_default());
+        connection.client(to).await
+    }
+
+    /// Opens a new connection for the next forwarded statement. Transactions go on over the old one.
+    pub fn replace_forward_client(&self, to: SocketAddr) {
+        if let Some(connection) = self.forwards.borrow().get(&to) {
+            *connection.client.borrow_mut() = None;
+        }
+    }
+
     async fn call<F, T>(&self, to: SocketAddr, timeout: Duration, call: F) -> Result<T, CallError>
     where
         F: AsyncFnOnce(PeerClient, context::Context) -> Result<T, client::RpcError>,
@@ -422,7 +567,7 @@
         let connection = Rc::clone(self.connections.borrow_mut().entry(to).or_default());
         let answer = tokio::time::timeout(timeout, async {
             let client = connection.client(to).await?;
-            call(client, context)
+            call(client.calls, context)
                 .await
                 .map_err(|_| CallError::Unanswered)
         });
@@ -435,7 +580,7 @@
     }
 }
 
-async fn connect(to: SocketAddr) -> Result<PeerClient, CallError> {
+async fn connect(to: SocketAddr) -> Result<Client, CallError> {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await;
     let stream = match connected {
         Ok(Ok(stream)) => stream,
@@ -447,5 +592,16 @@
     crate::socket::configure(&stream).map_err(|_| CallError::Unanswered)?;
     let framed = codec().new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
-    Ok(PeerClient::new(client::Config::default(), transport).spawn())
+    let new = PeerClient::new(client::Config::default(), transport);
+    let is_closed = Rc::new(Cell::new(false));
+    let closed = Rc::clone(&is_closed);
+    tokio::task::spawn_local(async move {
+        // The calls in flight report the error.
+        let _ = new.dispatch.await;
+        closed.set(true);
+    });
+    Ok(Client {
+        calls: new.client,
+        is_closed,
+    })
 }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -71,6 +71,9 @@
     /// Whether no connection is kept idle, because the endpoint accepts fewer connections than
     /// there are instances.
     keep_no_idle: bool,
+    /// Whether as many connections are kept idle as the limit allows, because this instance sends
+    /// the statements of others too.
+    keep_all_idle: bool,
     waiting: BTreeMap<(u8, u64), Waiter>,
     failure_detector: FailureDetector,
     latency: Option<(Duration, Instant)>,
@@ -89,6 +92,9 @@
 
     /// Returns how many connections are kept idle.
     fn max_idle(&self) -> usize {
+        if self.keep_all_idle {
+            return self.limit;
+        }
         (self.limit / MAX_IDLE_DIVISOR).max(1)
     }
 }
@@ -209,6 +215,11 @@
         self.aborts.send_modify(|count| *count += 1);
     }
 
+    /// Sets whether as many connections are kept idle as the limit allows.
+    pub fn keep_all_idle(&self, keep: bool) {
+        self.state.borrow_mut().keep_all_idle = keep;
+    }
+
     /// Sets the limit and closes the least recently used idle connections beyond it.
     fn apply_limit(&self, limit: usize) {
         let surplus: Vec<Connection> = {
@@ -376,7 +387,7 @@
     /// beyond it.
     pub fn apply_limits<F>(&self, limit_of: F)
     where
-        F: Fn(&Endpoint) -> usize,
+        F: Fn(&Rc<Endpoint>) -> usize,
     {
         for endpoint_pool in self.endpoint_pools() {
             let limit = limit_of(&endpoint_pool.endpoint());
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -444,12 +444,12 @@
             let now = self.instance.now();
             let has_written = pending.access == Access::Write;
             self.transaction
-                .pin(served.connection, served.primary_ref, has_written, now);
+                .pin(served.channel, served.primary_ref, has_written, now);
         } else {
             if pending.access == Access::Write {
                 self.raise_min_position(reply.position);
             }
-            served.connection.release();
+            served.channel.release();
         }
         Answer {
             rows: reply.rows,
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -5,21 +5,24 @@
 //! sent to any endpoint; the statement ran and failed; or the outcome is unknown. After an unknown
 //! outcome a read is sent to another endpoint under the same id, a write never is.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::egress;
 use filbertbay_coordination::placement::{EndpointEstimate, rank};
 use filbertbay_state::position::Position;
 use slog::{debug, info};
 
-use super::transaction::roll_back;
+use super::transaction::Channel;
 use super::{PRIMARY_CHANGE_WAIT_FRACTION, QUEUE_WAIT_DIVISOR, Session};
-use crate::caller::{Code, Refusal, Statement, TransactionState};
+use crate::caller::{Code, Refusal, Statement};
 use crate::catalog::Consistency;
-use crate::endpoint::{Access, Endpoint, Reply, Request, RequestKind};
-use crate::instance::Instance;
-use crate::pool::{AcquireError, EndpointPool, InFlightGuard, PooledConnection, SessionState};
+use crate::endpoint::{Access, Endpoint, Reply};
+use crate::execution::{self, AttemptError, Execution, PrimaryRef, Problem, Work};
+use crate::forward::{self, Path, SendError};
+use crate::pool::EndpointPool;
 
 /// Pause between two rounds of attempts over all endpoints.
 const ROUND_INTERVAL: Duration = Duration::from_millis(12);
@@ -48,56 +51,24 @@
 }
 
 impl PendingStatement<'_> {
-    /// Returns the request to an endpoint. `name` is the name of the prepared statement on the
-    /// connection, if it is one.
-    pub(super) fn request<'r>(
-        &'r self,
-        name: Option<&'r str>,
-        min_position: Option<Position>,
-    ) -> Request<'r> {
-        let kind = match (&self.prepared, name) {
-            (Some((_, arguments)), Some(name)) => RequestKind::Execute(name, arguments),
-            _ => RequestKind::Text(&self.statement.text),
-        };
-        Request {
-            id: Some(&self.statement.id),
-            min_position,
-            kind,
+    /// Returns the statement with the session values that it needs.
+    pub(super) fn work<'w>(&'w self, values: &'w BTreeMap<Arc<str>, Arc<str>>) -> Work<'w> {
+        let prepared = self.prepared.as_ref();
+        Work {
+            id: &self.statement.id,
+            text: &self.statement.text,
+            access: self.access,
+            prepared: prepared.map(|(template, arguments)| (template, &**arguments)),
+            values,
         }
     }
 }
 
-/// Primary of a service, with the revision of the stored record that names it.
-#[derive(Clone, Debug)]
-pub(super) struct PrimaryRef {
-    pub(super) service: Arc<str>,
-    pub(super) endpoint: Arc<str>,
-    pub(super) revision: u64,
-}
-
-impl PrimaryRef {
-    /// Records the position that the endpoint reported, if the same record still names it primary.
-    pub(super) fn record_position(
-        &self,
-        instance: &Instance,
-        sent_at: Instant,
-        position: Position,
-    ) {
-        instance.record_position(
-            &self.service,
-            &self.endpoint,
-            self.revision,
-            sent_at,
-            position,
-        );
-    }
-}
-
 /// Reply of an endpoint, and the connection on which it came.
 #[derive(Debug)]
 pub(super) struct EndpointReply {
     pub(super) reply: Reply,
-    pub(super) connection: PooledConnection,
+    pub(super) channel: Channel,
     pub(super) primary_ref: Option<PrimaryRef>,
 }
 
@@ -106,21 +77,11 @@
 struct Target {
     endpoint: Rc<Endpoint>,
     endpoint_pool: Rc<EndpointPool>,
+    path: Path,
     min_position: Option<Position>,
     primary_ref: Option<PrimaryRef>,
 }
 
-/// Why an attempt did not succeed.
-#[derive(Debug)]
-enum AttemptError {
-    /// The statement certainly did not run.
-    NotRun(Code),
-    /// The statement ran and failed, or the refusal's code states its outcome.
-    Failed(Refusal),
-    /// The statement may or may not have run.
-    OutcomeUnknown(&'static str),
-}
-
 impl Session {
     /// Runs a statement outside a pinned transaction, at as many endpoints as needed until one
     /// succeeds.
@@ -169,6 +130,14 @@
             let id = Arc::clone(&target.endpoint.id);
             match self.attempt(pending, begin, target, queue_end, until).await {
                 Ok(served) => return Ok(served),
+                Err(AttemptError::Unreachable) => {
+                    debug!(self.log, "endpoint not reached"; "id" => pending.statement.id.as_ref(),
+                        "endpoint" => id.as_ref());
+                    self.instance.primary_suspected.notify_one();
+                    last_code = Code::Busy;
+                    was_sent = true;
+                    attempted.push(id);
+                }
                 Err(AttemptError::NotRun(code)) => {
                     debug!(self.log, "attempt did not run"; "id" => pending.statement.id.as_ref(),
                         "endpoint" => id.as_ref(), "code" => %code);
@@ -179,17 +148,21 @@
                 Err(AttemptError::Failed(refusal)) => return Err(refusal),
                 Err(AttemptError::OutcomeUnknown(problem)) => {
                     info!(self.log, "try lost"; "id" => pending.statement.id.as_ref(),
-                        "endpoint" => id.as_ref(), "problem" => problem,
+                        "endpoint" => id.as_ref(), "problem" => %problem,
                         "service" => self.route.service.as_ref(),
                         "took_ms" => self.instance.now().saturating_duration_since(now).as_millis() as u64);
-                    self.instance.primary_suspected.notify_one();
+                    // A silent egress instance says nothing about the endpoint, which is tried again
+                    // on another path.
+                    if problem != Problem::EgressLost {
+                        self.instance.primary_suspected.notify_one();
+                        attempted.push(id);
+                    }
                     if pending.access == Access::Write && begin.is_none() {
                         let text = format!("the outcome of the write is unknown: {problem}");
                         return Err(Refusal::new(Code::Unknown, text));
                     }
                     was_sent = true;
                     may_have_run = true;
-                    attempted.push(id);
                     if self.instance.now() + MIN_ATTEMPT_TIME >= deadline {
                         return Err(Refusal::new(Code::Timeout, "no endpoint answered in time"));
                     }
@@ -292,6 +265,7 @@
         }
         Some(Target {
             endpoint_pool: self.instance.pool.for_endpoint(&endpoint),
+            path: forward::path(&self.instance, &endpoint, &self.workspace.name),
             min_position: None,
             primary_ref: Some(PrimaryRef {
                 service: Arc::clone(service),
@@ -321,6 +295,7 @@
         let usable = replicas.filter(|endpoint| self.is_usable(endpoint, now));
         let targets = usable.map(|endpoint| Target {
             endpoint_pool: self.instance.pool.for_endpoint(&endpoint),
+            path: forward::path(&self.instance, &endpoint, &self.workspace.name),
             min_position: Some(min_position),
             primary_ref: None,
             endpoint,
@@ -356,19 +331,22 @@
     fn estimate(&self, target: &Target, now: Instant) -> EndpointEstimate {
         let endpoint = &target.endpoint;
         let endpoint_pool = &target.endpoint_pool;
+        // An egress instance keeps connections of the workspaces that it sends for.
+        let is_forwarded = target.path != Path::Direct;
         EndpointEstimate {
             round_trip: self.instance.round_trip(endpoint),
             latency: self.instance.expected_latency(endpoint_pool, now),
             in_flight: endpoint_pool.in_flight(),
             slots: endpoint.slots,
-            has_idle_connection: endpoint_pool.has_idle_connection(&self.workspace.name),
-            is_full: endpoint_pool.is_full(now),
+            has_idle_connection: is_forwarded
+                || endpoint_pool.has_idle_connection(&self.workspace.name),
+            is_full: !is_forwarded && endpoint_pool.is_full(now),
             is_failing: endpoint_pool.failure_detector().is_failing(),
             is_draining_or_cold: endpoint.is_draining || endpoint.is_cold,
         }
     }
 
-    /// Makes one attempt at `target`.
+    /// Makes one attempt at `target`, through the egress instance of the endpoint or directly.
     async fn attempt(
         &self,
         pending: &PendingStatement<'_>,
@@ -378,157 +356,46 @@
         deadline: Instant,
     ) -> Result<EndpointReply, AttemptError> {
         let instance = &self.instance;
-        let limit = instance.connection_limit(&self.route.service);
-        let name = &self.workspace.name;
-        let priority = self.route.priority;
-        let acquired =
-            instance
-                .pool
-                .acquire(&target.endpoint_pool, name, limit, priority, queue_end);
-        let mut connection = match acquired.await {
-            Ok(connection) => connection,
-            Err(AcquireError::Busy) => return Err(AttemptError::NotRun(Code::TooManyConnections)),
-            Err(AcquireError::Refused(code)) => return Err(AttemptError::NotRun(code)),
-            Err(AcquireError::Unreachable(problem)) => {
-                debug!(self.log, "endpoint not reached"; "endpoint" => target.endpoint.id.as_ref(),
-                    "problem" => problem);
-                instance.primary_suspected.notify_one();
-                return Err(AttemptError::NotRun(Code::Busy));
-            }
+        let mut execution = Execution {
+            work: pending.work(&self.values),
+            workspace: &self.workspace.name,
+            priority: self.route.priority,
+            limit: 0,
+            min_position: target.min_position,
+            begin,
+            primary_ref: target.primary_ref.as_ref(),
+            queue_end,
+            deadline,
         };
-        let primary_use = target.primary_ref.as_ref();
-        let primary_use =
-            primary_use.map(|primary_ref| instance.track_primary_use(&primary_ref.service));
-        // The primary may have changed during the wait for a connection.
-        if !self.is_still_primary(target.primary_ref.as_ref()) {
-            connection.release();
-            return Err(AttemptError::NotRun(Code::Busy));
-        }
-        let reply = self
-            .exchange_before(pending, begin, &target, &mut connection, deadline)
-            .await?;
-        drop(primary_use);
-        match &reply.result {
-            Ok(_) => Ok(EndpointReply {
-                reply,
-                connection,
-                primary_ref: target.primary_ref,
-            }),
-            Err(refusal) => {
-                let error = classify_refusal(pending, &target, refusal, instance.now());
-                if reply.state == TransactionState::Idle {
-                    connection.release();
-                } else {
-                    roll_back(connection);
+        let endpoint_pool = &target.endpoint_pool;
+        // An egress instance that is not reached or declines is skipped in the next turn.
+        let mut path = target.path.clone();
+        for _ in 0..egress::INSTANCES {
+            let Path::Egress(name, address) = &path else {
+                break;
+            };
+            match forward::send(instance, (name, *address), endpoint_pool, &execution).await {
+                Ok((reply, remote)) => {
+                    let channel = remote.map_or(Channel::Ended, Channel::Remote);
+                    return Ok(EndpointReply {
+                        reply,
+                        channel,
+                        primary_ref: target.primary_ref,
+                    });
                 }
-                Err(error)
+                Err(SendError::NotSent) => {}
+                Err(SendError::Attempt(error)) => return Err(error),
             }
+            path = forward::path(instance, &target.endpoint, &self.workspace.name);
         }
-    }
-
-    fn is_still_primary(&self, primary_ref: Option<&PrimaryRef>) -> bool {
-        primary_ref.is_none_or(|primary_ref| {
-            let primary = self.instance.primary(&primary_ref.service);
-            let view = self.instance.view.borrow();
-            primary.as_ref() == Some(&primary_ref.endpoint)
-                && view.record_revision(&primary_ref.service) == primary_ref.revision
+        execution.limit = instance.allot(&target.endpoint);
+        let executed = execution::execute(instance, endpoint_pool, &execution).await?;
+        Ok(EndpointReply {
+            reply: executed.reply,
+            channel: Channel::Pooled(executed.connection),
+            primary_ref: target.primary_ref,
         })
     }
-
-    async fn exchange_before(
-        &self,
-        pending: &PendingStatement<'_>,
-        begin: Option<bool>,
-        target: &Target,
-        connection: &mut PooledConnection,
-        deadline: Instant,
-    ) -> Result<Reply, AttemptError> {
-        let instance = &self.instance;
-        let endpoint_pool = &target.endpoint_pool;
-        let _in_flight = InFlightGuard::new(endpoint_pool);
-        let mut aborts = endpoint_pool.subscribe_aborts();
-        let sent_at = instance.now();
-        let limit = deadline.saturating_duration_since(sent_at);
-        let running = self.exchange(pending, begin, target, connection);
-        let outcome = tokio::select! {
-            outcome = tokio::time::timeout(limit, running) => outcome,
-            _ = aborts.changed() => return Err(AttemptError::OutcomeUnknown("the primary is being changed")),
-        };
-        let now = instance.now();
-        let reply = match outcome {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(ConnectionLost::BeforeSend)) => {
-                endpoint_pool.record_failure(now);
-                return Err(AttemptError::NotRun(Code::Busy));
-            }
-            Ok(Err(ConnectionLost::AfterSend)) => {
-                endpoint_pool.record_failure(now);
-                return Err(AttemptError::OutcomeUnknown(
-                    "the connection to the endpoint broke",
-                ));
-            }
-            Err(_) => {
-                endpoint_pool.record_failure(now);
-                return Err(AttemptError::OutcomeUnknown(
-                    "the endpoint did not answer in time",
-                ));
-            }
-        };
-        endpoint_pool.record_answer(now);
-        if let (Some(primary_ref), Some(position)) = (&target.primary_ref, reply.position) {
-            primary_ref.record_position(instance, sent_at, position);
-        }
-        if reply.result.is_ok() {
-            endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
-        }
-        Ok(reply)
-    }
-
-    /// Sends the statement, preceded by `BEGIN` if it is the first of a transaction.
-    async fn exchange(
-        &self,
-        pending: &PendingStatement<'_>,
-        begin: Option<bool>,
-        target: &Target,
-        connection: &mut PooledConnection,
-    ) -> Result<Reply, ConnectionLost> {
-        let state = SessionState {
-            values: &self.values,
-            prepared: pending
-                .prepared
-                .as_ref()
-                .map(|(template, _)| (pending.access, template)),
-        };
-        let name = connection
-            .apply_session_state(state)
-            .await
-            .map_err(|_| ConnectionLost::BeforeSend)?;
-        let Some(read_only) = begin else {
-            let request = pending.request(name.as_deref(), target.min_position);
-            return connection
-                .run(&request)
-                .await
-                .map_err(|_| ConnectionLost::AfterSend);
-        };
-        let begin_request = Request {
-            id: None,
-            min_position: target.min_position,
-            kind: RequestKind::Begin { read_only },
-        };
-        let reply = connection
-            .run(&begin_request)
-            .await
-            .map_err(|_| ConnectionLost::BeforeSend)?;
-        if reply.result.is_err() {
-            return Ok(reply);
-        }
-        let request = pending.request(name.as_deref(), None);
-        // The endpoint rolls back a transaction whose connection breaks before the commit.
-        connection
-            .run(&request)
-            .await
-            .map_err(|_| ConnectionLost::AfterSend)
-    }
 }
 
 /// Returns the refusal of a statement that no endpoint ran, and counts it.
@@ -543,37 +410,6 @@
     Refusal::new(Code::Busy, text)
 }
 
-/// Converts a refusal to the error of the attempt, and records the position that a lagging replica
-/// had not reached.
-fn classify_refusal(
-    pending: &PendingStatement<'_>,
-    target: &Target,
-    refusal: &Refusal,
-    now: Instant,
-) -> AttemptError {
-    if refusal.code == Code::Lagging
-        && let Some(min_position) = target.min_position
-    {
-        target
-            .endpoint_pool
-            .record_missing_position(now, min_position);
-    }
-    if refusal.code.is_not_run() {
-        return AttemptError::NotRun(refusal.code);
-    }
-    if pending.access == Access::Read && refusal.code == Code::Failed {
-        return AttemptError::OutcomeUnknown("the endpoint failed the read");
-    }
-    AttemptError::Failed(refusal.clone())
-}
-
-/// Connection to an endpoint that broke before or after the statement was sent.
-#[derive(Clone, Copy, Debug)]
-enum ConnectionLost {
-    BeforeSend,
-    AfterSend,
-}
-
 /// Returns true if a replica refused a read within the last [`LAG_BACKOFF`] because it had not
 /// reached this position or a lower one.
 fn is_known_to_lag(endpoint_pool: &EndpointPool, min_position: Position, now: Instant) -> bool {
--- a/crates/entry/src/session/transaction.rs
+++ b/crates/entry/src/session/transaction.rs
@@ -7,19 +7,18 @@
 use filbertbay_coordination::succession::Phase;
 use slog::info;
 
-use super::attempt::{PendingStatement, PrimaryRef};
+use super::attempt::PendingStatement;
 use super::{QUEUE_WAIT_DIVISOR, Session};
 use crate::caller::{Answer, Code, Command, Refusal, Statement, TransactionState};
-use crate::endpoint::{Access, Reply, Request, RequestKind};
+use crate::endpoint::{Access, Reply};
+use crate::execution::{self, PrimaryRef, Problem, Work};
+use crate::forward::Remote;
 use crate::instance::Instance;
-use crate::pool::{InFlightGuard, PooledConnection, SessionState};
+use crate::pool::PooledConnection;
 
 /// Delay before a statement that was refused by a busy endpoint is sent again.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
 
-/// Longest wait for the reply to a rollback, after which the connection is closed.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time that a commit may take beyond the route's timeout, because its outcome can't be queried
 /// later.
 const COMMIT_MARGIN: Duration = Duration::from_millis(50);
@@ -46,7 +45,7 @@
 /// Transaction that is open on an endpoint connection.
 #[derive(Debug)]
 pub(super) struct Pinned {
-    connection: PooledConnection,
+    channel: Channel,
     /// Primary that the transaction runs on; `None` on a replica.
     primary_ref: Option<PrimaryRef>,
     has_written: bool,
@@ -96,13 +95,13 @@
 
     pub(super) fn pin(
         &mut self,
-        connection: PooledConnection,
+        channel: Channel,
         primary_ref: Option<PrimaryRef>,
         has_written: bool,
         now: Instant,
     ) {
         *self = Self::Pinned(Pinned {
-            connection,
+            channel,
             primary_ref,
             has_written,
             last_used: now,
@@ -141,7 +140,7 @@
     /// Rolls back the open transaction at the end of the session.
     pub(super) fn close(&mut self) {
         if let Transaction::Pinned(pinned) = std::mem::take(&mut self.transaction) {
-            roll_back(pinned.connection);
+            pinned.channel.roll_back();
         }
     }
 
@@ -149,7 +148,7 @@
     pub(super) fn fail_transaction(&mut self) {
         let previous = std::mem::replace(&mut self.transaction, Transaction::Failed);
         if let Transaction::Pinned(pinned) = previous {
-            roll_back(pinned.connection);
+            pinned.channel.roll_back();
         }
     }
 
@@ -182,7 +181,7 @@
         match std::mem::take(&mut self.transaction) {
             Transaction::None => self.refuse(Code::Malformed, "no transaction is open"),
             Transaction::Pinned(pinned) => {
-                roll_back(pinned.connection);
+                pinned.channel.roll_back();
                 Answer::local(TransactionState::Idle)
             }
             Transaction::Begun { .. } | Transaction::Failed => {
@@ -206,21 +205,16 @@
             let Transaction::Pinned(pinned) = &mut self.transaction else {
                 return self.refuse(Code::Aborted, "the transaction was rolled back");
             };
-            let state = SessionState {
-                values: &self.values,
-                prepared: pending
-                    .prepared
-                    .as_ref()
-                    .map(|(template, _)| (pending.access, template)),
-            };
-            let outcome = pinned.run(&self.instance, pending, state, deadline).await;
+            let work = pending.work(&self.values);
+            let outcome = pinned.run(&self.instance, work, deadline).await;
             let now = self.instance.now();
             let reply = match outcome {
                 Ok(reply) => reply,
                 Err(problem) => {
                     info!(self.log, "transaction lost its endpoint"; "id" => pending.statement.id.as_ref(),
-                        "problem" => problem);
-                    return self.fail_transaction_with(Refusal::new(Code::Aborted, problem));
+                        "problem" => %problem);
+                    let refusal = Refusal::new(Code::Aborted, problem.to_string());
+                    return self.fail_transaction_with(refusal);
                 }
             };
             pinned.last_used = now;
@@ -269,7 +263,7 @@
             return match self.run_with_retries(&pending, Some(read_only)).await {
                 Ok(served) => {
                     self.transaction = Transaction::None;
-                    served.connection.release();
+                    served.channel.release();
                     Answer {
                         rows: served.reply.rows,
                         result: served.reply.result.map(Some),
@@ -300,24 +294,21 @@
             return self.refuse(Code::Aborted, "the transaction was rolled back");
         };
         loop {
-            let state = SessionState {
-                values: &self.values,
-                prepared: None,
-            };
-            let reply = match pinned.run(&self.instance, pending, state, deadline).await {
+            let work = pending.work(&self.values);
+            let reply = match pinned.run(&self.instance, work, deadline).await {
                 Ok(reply) => reply,
-                Err(problem) if pinned.has_written => {
+                Err(problem) if pinned.has_written && problem != Problem::LeaseEnded => {
                     let text = format!("the outcome of the commit is unknown: {problem}");
                     return self.refuse(Code::Unknown, text);
                 }
-                Err(problem) => return self.refuse(Code::Aborted, problem),
+                Err(problem) => return self.refuse(Code::Aborted, problem.to_string()),
             };
             let refusal = match reply.result {
                 Ok(signature) => {
                     if pinned.has_written {
                         self.raise_min_position(reply.position);
                     }
-                    pinned.connection.release();
+                    pinned.channel.release();
                     return Answer {
                         rows: reply.rows,
                         result: Ok(Some(signature)),
@@ -336,7 +327,7 @@
                 // Rolls back what the refused commit left open; the connection is closed if that
                 // fails.
                 code if code.is_not_run() || code == Code::Aborted => {
-                    roll_back(pinned.connection);
+                    pinned.channel.roll_back();
                     self.refuse(Code::Aborted, refusal.text)
                 }
                 _ if !pinned.has_written => self.refuse(Code::Aborted, refusal.text),
@@ -347,69 +338,51 @@
 }
 
 impl Pinned {
-    /// Runs a statement on the connection.
+    /// Runs a statement of the transaction.
     ///
     /// Returns the cause as an error if no answer came before `deadline`.
     async fn run(
         &mut self,
         instance: &Rc<Instance>,
-        pending: &PendingStatement<'_>,
-        state: SessionState<'_>,
+        work: Work<'_>,
         deadline: Instant,
-    ) -> Result<Reply, &'static str> {
-        let endpoint_pool = Rc::clone(self.connection.endpoint_pool());
-        let mut aborts = endpoint_pool.subscribe_aborts();
-        let _in_flight = InFlightGuard::new(&endpoint_pool);
+    ) -> Result<Reply, Problem> {
         let primary_ref = self.primary_ref.as_ref();
-        let _primary_use =
-            primary_ref.map(|primary_ref| instance.track_primary_use(&primary_ref.service));
-        let sent_at = instance.now();
-        let limit = deadline.saturating_duration_since(sent_at);
-        let connection = &mut self.connection;
-        let running = async {
-            let name = connection.apply_session_state(state).await?;
-            connection
-                .run(&pending.request(name.as_deref(), None))
-                .await
-        };
-        let outcome = tokio::select! {
-            outcome = tokio::time::timeout(limit, running) => outcome,
-            _ = aborts.changed() => return Err("the primary is being changed"),
-        };
-        let now = instance.now();
-        match outcome {
-            Ok(Ok(reply)) => {
-                endpoint_pool.record_answer(now);
-                endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
-                if let (Some(primary_ref), Some(position)) = (primary_ref, reply.position) {
-                    primary_ref.record_position(instance, sent_at, position);
-                }
-                Ok(reply)
-            }
-            Ok(Err(_)) => {
-                endpoint_pool.record_failure(now);
-                instance.primary_suspected.notify_one();
-                Err("the connection to the endpoint broke")
-            }
-            Err(_) => {
-                endpoint_pool.record_failure(now);
-                instance.primary_suspected.notify_one();
-                Err("the endpoint did not answer in time")
+        match &mut self.channel {
+            Channel::Pooled(connection) => {
+                execution::execute_next(instance, connection, primary_ref, work, deadline).await
             }
+            Channel::Remote(remote) => remote.run(instance, primary_ref, work, deadline).await,
+            Channel::Ended => Err(Problem::LeaseEnded),
         }
     }
 }
 
-/// Rolls back the transaction on a connection in the background, then returns the connection to the
-/// pool.
-pub(super) fn roll_back(mut connection: PooledConnection) {
-    tokio::task::spawn_local(async move {
-        let request = Request::internal(RequestKind::Rollback);
-        let reply = tokio::time::timeout(ROLLBACK_TIMEOUT, connection.run(&request)).await;
-        let is_clean = matches!(&reply, Ok(Ok(reply)) if reply.state == TransactionState::Idle);
-        // Otherwise the connection is closed, on which the endpoint rolls back as well.
-        if is_clean {
+/// Connection on which a statement ran, and on which its transaction is open.
+#[derive(Debug)]
+pub(super) enum Channel {
+    /// Connection of this instance.
+    Pooled(PooledConnection),
+    /// Lease at an egress instance.
+    Remote(Remote),
+    /// Connection of an egress instance that needs it no more.
+    Ended,
+}
+
+impl Channel {
+    /// Returns the connection to the pool; a lease ends with its transaction.
+    pub(super) fn release(self) {
+        if let Self::Pooled(connection) = self {
             connection.release();
         }
-    });
+    }
+
+    /// Rolls the transaction back in the background.
+    fn roll_back(self) {
+        match self {
+            Self::Pooled(connection) => execution::roll_back(connection),
+            Self::Remote(remote) => remote.roll_back(),
+            Self::Ended => {}
+        }
+    }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -34,7 +34,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of one entry instance.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this instance, unique among all instances.
@@ -69,6 +69,10 @@
     /// instances, at any time.
     #[serde(default)]
     pub rate_slack: u64,
+    /// Part of a processor core that this instance may use, such as 0.25; weighs it among the
+    /// instances that send statements of others.
+    #[serde(default)]
+    pub processor_share: Option<f64>,
 }
 
 /// Error of reading or checking settings.
@@ -136,6 +140,12 @@
         if self.grace_s == 0 {
             return invalid("grace_s", "must be above zero".to_owned());
         }
+        if self
+            .processor_share
+            .is_some_and(|share| !share.is_finite() || share <= 0.0)
+        {
+            return invalid("processor_share", "must be above zero".to_owned());
+        }
         let listeners = [self.callers, self.readiness, self.peers, self.metrics];
         for (index, one) in listeners.iter().enumerate() {
             if listeners[..index].contains(one) {
@@ -150,6 +160,14 @@
         self.data_centres.get(&self.data_centre).map(AsRef::as_ref)
     }
 
+    /// Returns the processor share in thousandths of a core, at least one; a whole core if it is not
+    /// set.
+    pub fn weight(&self) -> u32 {
+        let share = self.processor_share.unwrap_or(1.0);
+        // Saturates, as a share is positive and finite.
+        ((share * 1_000.0).round() as u32).max(1)
+    }
+
     /// Returns the time between SIGTERM and SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs(self.grace_s)
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -51,6 +51,10 @@
     pub data_centre: Arc<str>,
     /// Incarnation, which grows with each start.
     pub incarnation: u64,
+    /// Processor time of the instance in thousandths of a core; zero if it is of an earlier version,
+    /// which takes no statements of others.
+    #[serde(default)]
+    pub weight: u32,
 }
 
 /// Stored value of the promotion lock, which names the instance that holds it.
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -389,6 +389,7 @@
         address: settings.peers,
         data_centre: Arc::clone(&settings.data_centre),
         incarnation: instance.incarnation,
+        weight: settings.weight(),
     };
     let value = serde_json::to_vec(&peer)
         .map_err(|error| Error::new(ErrorKind::Refused, "swap", error.to_string()))?;
