--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod era;
+pub mod execution;
+pub mod forward;
 pub mod freshness;
 pub mod health;
 pub mod instance;
--- a/crates/entry/src/pool/held.rs
+++ b/crates/entry/src/pool/held.rs
@@ -48,6 +48,12 @@
         &self.endpoint_pool
     }
 
+    /// Returns the workspace for which the connection was opened.
+    pub fn workspace(&self) -> Arc<str> {
+        let connection = self.connection.as_ref();
+        connection.map_or_else(|| "".into(), |connection| Arc::clone(&connection.workspace))
+    }
+
     /// Returns the connection to the pool.
     pub fn release(mut self) {
         if let Some(connection) = self.connection.take() {
