Charge a slow endpoint to itself, and let no waiting statement hold up a change of primary

Change: waits for a connection end with the statement's deadline, and when the primary is replaced; a call that times out at an instance that answers probes is the endpoint's silence; an egress instance waits up to 150 ms for a record that the sender knows. Endpoints with too few connections to divide are reached directly.

--- a/crates/coordination/src/egress.rs
+++ b/crates/coordination/src/egress.rs
@@ -109,7 +109,7 @@
     /// Returns the plan for an endpoint from all listed instances.
     ///
     /// It names no egress instance if an equal share of the connections is [`MIN_DIRECT_SHARE`] or
-    /// more, or if no instance is in the endpoint's region: a statement never passes through a
+    /// more, if the endpoint accepts too few to divide them, or if no instance is in the endpoint's region: a statement never passes through a
     /// region in which neither its caller's instance nor its endpoint is.
     pub fn new<'a, I>(endpoint: &Endpoint<'_>, candidates: I) -> Self
     where
@@ -117,11 +117,12 @@
     {
         let candidates: Vec<Candidate<'a>> = candidates.into_iter().collect();
         let equal_share = endpoint.max_connections / candidates.len().max(1);
-        let instances = if equal_share >= MIN_DIRECT_SHARE {
-            Vec::new()
-        } else {
-            choose(endpoint, &candidates)
-        };
+        let instances =
+            if equal_share >= MIN_DIRECT_SHARE || egress_allotment(endpoint.max_connections) == 0 {
+                Vec::new()
+            } else {
+                choose(endpoint, &candidates)
+            };
         Self {
             instances,
             endpoint: endpoint.id.into(),
@@ -157,13 +158,18 @@
         }
         let is_egress = self.instances.iter().any(|name| &**name == instance);
         if is_egress {
-            (self.max_connections * ALLOTMENT.0 / ALLOTMENT.1).max(1)
+            egress_allotment(self.max_connections)
         } else {
             0
         }
     }
 }
 
+/// Returns the connections that one egress instance holds of all that an endpoint accepts.
+fn egress_allotment(max_connections: usize) -> usize {
+    max_connections * ALLOTMENT.0 / ALLOTMENT.1
+}
+
 /// Returns the egress instances of an endpoint.
 ///
 /// Each of them is chosen by a ranking of its own, so that the statements of one stay where they are
@@ -236,7 +242,7 @@
 }
 
 impl Suspicions {
-    /// Skips an instance for an endpoint from now on; returns true if it was not skipped before.
+    /// Skips an instance for an endpoint from now on; returns true if that scope was not skipped before.
     pub fn add(
         &mut self,
         now: Instant,
@@ -244,13 +250,13 @@
         endpoint: &Arc<str>,
         cause: Suspicion,
     ) -> bool {
-        let was_suspected = self.is_suspected(now, instance, endpoint);
         self.entries.retain(|_, until| now < *until);
         let scope = (cause == Suspicion::Disagrees).then(|| Arc::clone(endpoint));
-        let until = self.entries.entry((Arc::clone(instance), scope));
-        let until = until.or_insert(now);
+        let key = (Arc::clone(instance), scope);
+        let is_new = !self.entries.contains_key(&key);
+        let until = self.entries.entry(key).or_insert(now);
         *until = (*until).max(now + cause.period());
-        !was_suspected
+        is_new
     }
 
     /// Uses an instance again that answered.
--- a/crates/coordination/tests/egress.rs
+++ b/crates/coordination/tests/egress.rs
@@ -64,7 +64,7 @@
 fn allotments_stay_below_the_limit_of_the_endpoint() {
     fn holds(count: u8, max_connections: u8, data_centre: u8) -> bool {
         let machines = fleet(usize::from(count) + 1);
-        let max_connections = usize::from(max_connections) + 2;
+        let max_connections = usize::from(max_connections);
         let data_centre = usize::from(data_centre) % DATA_CENTRES.len();
         let plan = plan(&machines, "orders-1", data_centre, max_connections);
         let allotments = machines.iter().map(|machine| plan.allotment(&machine.name));
@@ -205,7 +205,7 @@
     assert!(!suspicions.is_suspected(now, &name, &other));
     assert!(!suspicions.is_suspected(after(300), &name, &one));
     assert!(suspicions.add(after(400), &name, &one, Suspicion::Silent));
-    assert!(!suspicions.add(after(400), &name, &other, Suspicion::Disagrees));
+    assert!(!suspicions.add(after(400), &name, &other, Suspicion::Silent));
     assert!(suspicions.is_suspected(after(9_000), &name, &other));
     suspicions.clear(&name);
     assert!(!suspicions.is_suspected(after(400), &name, &one));
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -184,17 +184,30 @@
         execution.priority,
         execution.queue_end,
     );
-    let mut connection = match acquired.await {
-        Ok(connection) => connection,
-        Err(AcquireError::Busy) => return Err(AttemptError::NotRun(Code::TooManyConnections)),
-        Err(AcquireError::Refused(code)) => return Err(AttemptError::NotRun(code)),
-        Err(AcquireError::Unreachable(problem)) => {
+    let time = execution.deadline.saturating_duration_since(instance.now());
+    let acquired = tokio::select! {
+        acquired = tokio::time::timeout(time, acquired) => acquired,
+        // A statement that still waits holds up no change of the primary.
+        () = wait_until_replaced(instance, execution.primary_ref) => {
+            return Err(AttemptError::NotRun(Code::Busy));
+        }
+    };
+    let mut connection = match acquired {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(AcquireError::Busy)) => return Err(AttemptError::NotRun(Code::TooManyConnections)),
+        Ok(Err(AcquireError::Refused(code))) => return Err(AttemptError::NotRun(code)),
+        Ok(Err(AcquireError::Unreachable(problem))) => {
             let endpoint = endpoint_pool.endpoint();
             debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
                 "problem" => problem);
             instance.primary_suspected.notify_one();
             return Err(AttemptError::Unreachable);
         }
+        Err(_) => {
+            endpoint_pool.record_failure(instance.now());
+            instance.primary_suspected.notify_one();
+            return Err(AttemptError::Unreachable);
+        }
     };
     let primary_ref = execution.primary_ref;
     let primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
@@ -219,6 +232,19 @@
     }
 }
 
+/// Waits until the instance may not use the primary any more; forever without one.
+async fn wait_until_replaced(instance: &Instance, primary_ref: Option<&PrimaryRef>) {
+    let Some(primary_ref) = primary_ref else {
+        return std::future::pending().await;
+    };
+    let mut changed = instance.view_changed.subscribe();
+    while primary_ref.is_current(instance) {
+        if changed.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// Runs a statement of an open transaction on its connection.
 ///
 /// # Errors
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -23,14 +23,14 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::egress::{self, Candidate, Plan, Suspicion, Suspicions};
-use slog::info;
+use slog::{debug, info};
 
 use self::lease::Leases;
 use crate::caller::Code;
 use crate::endpoint::{Access, Endpoint, Reply};
 use crate::execution::{AttemptError, Execution, PrimaryRef, Problem, Work};
 use crate::instance::Instance;
-use crate::peer::{self, CallError};
+use crate::peer::{self, Unanswered};
 use crate::pool::{EndpointPool, InFlightGuard};
 
 /// Time for which a sender waits longer than the egress instance may take: a round trip between the
@@ -58,7 +58,17 @@
 }
 
 impl Forwards {
-    /// Discards the plans after a change of the configuration, the endpoints or the instances.
+    /// Uses an instance again whose entry changed, such as after its restart.
+    pub fn clear_suspicion(&self, name: &str) {
+        self.suspicions.borrow_mut().clear(name);
+    }
+
+    /// Discards the plan of an endpoint whose entry changed.
+    pub fn discard_plan(&self, endpoint: &str) {
+        self.plans.borrow_mut().remove(endpoint);
+    }
+
+    /// Discards the plans after a change of the configuration or the instances.
     pub fn discard_plans(&self) {
         self.plans.borrow_mut().clear();
     }
@@ -149,7 +159,9 @@
     let client = match instance.peers.forward_client(address).await {
         Ok(client) => client,
         Err(error) => {
-            suspect(instance, egress, endpoint, Suspicion::Silent, error);
+            debug!(instance.log, "egress instance not reached"; "peer" => name.as_ref(),
+                "error" => %error);
+            suspect(instance, egress, endpoint, Suspicion::Silent);
             return Err(SendError::NotSent);
         }
     };
@@ -159,39 +171,14 @@
     if primary_ref.is_some_and(|primary| !primary.is_current(instance)) {
         return Err(SendError::Attempt(AttemptError::NotRun(Code::Busy)));
     }
-    let mut aborts = endpoint_pool.subscribe_aborts();
     let sent_at = instance.now();
     let forwarded = Forwarded::new(execution, endpoint, sent_at);
     let timeout = forwarded.statement.time + ANSWER_MARGIN;
     metrics::counter!("filbertbay_forwarded_total").increment(1);
-    let is_read = execution.work.access == Access::Read;
-    let answer = {
-        let mut call = std::pin::pin!(client.forward(timeout, forwarded));
-        let mut silence = std::pin::pin!(watch(instance, name, address));
-        let mut is_silent = false;
-        loop {
-            tokio::select! {
-                answer = &mut call => break answer,
-                error = &mut silence, if !is_silent => {
-                    is_silent = true;
-                    if is_read {
-                        break Err(error);
-                    }
-                    // Without its answer the outcome of a write stays open, so that is waited for.
-                    suspect(instance, egress, endpoint, Suspicion::Silent, error);
-                }
-                _ = aborts.changed() => {
-                    let error = AttemptError::OutcomeUnknown(Problem::PrimaryChanging);
-                    return Err(SendError::Attempt(error));
-                }
-            }
-        }
-    };
-    let now = instance.now();
-    if answer.is_ok() {
-        let mut last_answers = instance.forwards.last_answers.borrow_mut();
-        last_answers.insert(Arc::clone(name), now);
-    }
+    // Without its answer the outcome of a lone write stays open, so that is waited for.
+    let can_repeat = execution.work.access == Access::Read || execution.begin.is_some();
+    let call = client.forward(timeout, forwarded);
+    let answer = wait_for_answer(instance, egress, endpoint_pool, call, can_repeat).await;
     match answer {
         Ok(Ok(answer)) => {
             record_answer(instance, endpoint_pool, primary_ref, sent_at, &answer);
@@ -204,25 +191,79 @@
             Ok((answer.into_reply(), remote))
         }
         Ok(Err(ForwardError::Declined(cause))) => {
-            suspect(instance, egress, endpoint, cause, CallError::Unanswered);
+            suspect(instance, egress, endpoint, cause);
             Err(SendError::NotSent)
         }
         Ok(Err(ForwardError::LeaseEnded)) => {
             Err(SendError::Attempt(AttemptError::NotRun(Code::Busy)))
         }
         Ok(Err(ForwardError::Attempt(error))) => {
-            record_error(endpoint_pool, execution, &error, now);
+            record_error(endpoint_pool, execution, &error, instance.now());
             Err(SendError::Attempt(error))
         }
-        Err(error) => {
-            instance.peers.replace_forward_client(address);
-            suspect(instance, egress, endpoint, Suspicion::Silent, error);
-            let error = AttemptError::OutcomeUnknown(Problem::EgressLost);
+        Err(problem) => {
+            if problem == Problem::EgressLost {
+                instance.peers.replace_forward_client(address, &client);
+            }
+            let error = AttemptError::OutcomeUnknown(problem);
             Err(SendError::Attempt(error))
         }
     }
 }
 
+/// Waits for the answer of an egress instance, and probes that meanwhile if it is silent. With
+/// `can_repeat` the wait ends when the probe fails.
+///
+/// An instance that answers others in time, but not this call, waits for the endpoint: that counts
+/// as a failure of the endpoint.
+async fn wait_for_answer<F, T>(
+    instance: &Rc<Instance>,
+    egress: (&Arc<str>, SocketAddr),
+    endpoint_pool: &EndpointPool,
+    call: F,
+    can_repeat: bool,
+) -> Result<T, Problem>
+where
+    F: Future<Output = Result<T, Unanswered>>,
+{
+    let (name, address) = egress;
+    let endpoint = &endpoint_pool.endpoint().id;
+    let mut aborts = endpoint_pool.subscribe_aborts();
+    let mut call = std::pin::pin!(call);
+    let mut silence = std::pin::pin!(watch(instance, name, address));
+    let mut is_silent = false;
+    loop {
+        tokio::select! {
+            answer = &mut call => {
+                let now = instance.now();
+                return match answer {
+                    Ok(answer) => {
+                        let mut last_answers = instance.forwards.last_answers.borrow_mut();
+                        last_answers.insert(Arc::clone(name), now);
+                        Ok(answer)
+                    }
+                    Err(Unanswered::TimedOut) if !is_silent => {
+                        endpoint_pool.record_failure(now);
+                        Err(Problem::NoAnswer)
+                    }
+                    Err(_) => {
+                        suspect(instance, egress, endpoint, Suspicion::Silent);
+                        Err(Problem::EgressLost)
+                    }
+                };
+            }
+            () = &mut silence, if !is_silent => {
+                is_silent = true;
+                suspect(instance, egress, endpoint, Suspicion::Silent);
+                if can_repeat {
+                    return Err(Problem::EgressLost);
+                }
+            }
+            _ = aborts.changed() => return Err(Problem::PrimaryChanging),
+        }
+    }
+}
+
 fn record_answer(
     instance: &Instance,
     endpoint_pool: &EndpointPool,
@@ -267,7 +308,6 @@
     egress: (&Arc<str>, SocketAddr),
     endpoint: &Arc<str>,
     cause: Suspicion,
-    error: CallError,
 ) {
     let (name, address) = egress;
     let now = instance.now();
@@ -281,8 +321,7 @@
     if !is_new {
         return;
     }
-    info!(instance.log, "egress instance skipped"; "peer" => name.as_ref(), "cause" => label,
-        "error" => (cause == Suspicion::Silent).then(|| error.to_string()));
+    info!(instance.log, "egress instance skipped"; "peer" => name.as_ref(), "cause" => label);
     if cause == Suspicion::Silent {
         let (instance, endpoint) = (Rc::clone(instance), Arc::clone(endpoint));
         let name = Arc::clone(name);
@@ -290,8 +329,8 @@
     }
 }
 
-/// Waits until an egress instance answers neither statements nor a probe, and returns that error.
-async fn watch(instance: &Instance, name: &Arc<str>, address: SocketAddr) -> CallError {
+/// Waits until an egress instance answers neither statements nor a probe.
+async fn watch(instance: &Instance, name: &Arc<str>, address: SocketAddr) {
     let mut last = instance.now();
     loop {
         let answered = instance.forwards.last_answers.borrow().get(name).copied();
@@ -305,7 +344,7 @@
             let mut last_answers = instance.forwards.last_answers.borrow_mut();
             last_answers.insert(Arc::clone(name), last);
         } else {
-            return CallError::Unanswered;
+            return;
         }
     }
 }
@@ -357,15 +396,16 @@
         deadline: Instant,
     ) -> Result<Reply, Problem> {
         let _in_flight = InFlightGuard::new(&self.endpoint_pool);
-        let mut aborts = self.endpoint_pool.subscribe_aborts();
         let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
         let sent_at = instance.now();
         let time = deadline.saturating_duration_since(sent_at);
         let statement = ForwardedStatement::new(work, time);
-        let answer = tokio::select! {
-            answer = self.client.forward_next(time + ANSWER_MARGIN, self.lease, statement) => answer,
-            _ = aborts.changed() => return Err(Problem::PrimaryChanging),
-        };
+        let (name, address) = &self.egress;
+        let call = self
+            .client
+            .forward_next(time + ANSWER_MARGIN, self.lease, statement);
+        let egress = (name, *address);
+        let answer = wait_for_answer(instance, egress, &self.endpoint_pool, call, false).await;
         match answer {
             Ok(Ok(answer)) => {
                 record_answer(instance, &self.endpoint_pool, primary_ref, sent_at, &answer);
@@ -379,18 +419,13 @@
                 Err(problem)
             }
             Ok(Err(_)) => Err(Problem::LeaseEnded),
-            Err(error) => {
-                let (name, address) = &self.egress;
-                instance.peers.replace_forward_client(*address);
-                let endpoint = &self.endpoint_pool.endpoint().id;
-                suspect(
-                    instance,
-                    (name, *address),
-                    endpoint,
-                    Suspicion::Silent,
-                    error,
-                );
-                Err(Problem::EgressLost)
+            Err(problem) => {
+                if problem == Problem::EgressLost {
+                    instance
+                        .peers
+                        .replace_forward_client(*address, &self.client);
+                }
+                Err(problem)
             }
         }
     }
--- a/crates/entry/src/forward/lease.rs
+++ b/crates/entry/src/forward/lease.rs
@@ -25,6 +25,9 @@
 /// caller ends the transaction first.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest wait for a record of a primary that the sender of a statement knows already.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(150);
+
 /// Interval at which leases are checked for their timeout.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -153,11 +156,8 @@
         endpoint: Arc::clone(&endpoint.id),
         revision,
     });
-    if primary_ref
-        .as_ref()
-        .is_some_and(|primary| !primary.is_current(instance))
-    {
-        return Err(declined);
+    if let Some(primary) = &primary_ref {
+        check_primary(instance, primary, forwarded.queue_time).await?;
     }
     let is_evacuated = instance.view.borrow().is_evacuated(&endpoint.data_centre);
     if is_evacuated || instance.is_past_drain(&endpoint, now) {
@@ -198,6 +198,30 @@
     Ok(ForwardReply::new(executed.reply, Some(lease)))
 }
 
+/// Checks that this instance may use a primary. The record may arrive here later than at the sender,
+/// so this waits for it for a moment.
+async fn check_primary(
+    instance: &Instance,
+    primary: &PrimaryRef,
+    queue_time: Duration,
+) -> Result<(), ForwardError> {
+    let revision = || instance.view.borrow().record_revision(&primary.service);
+    if revision() < primary.revision {
+        let mut changed = instance.view_changed.subscribe();
+        let newer = changed.wait_for(|_| revision() >= primary.revision);
+        // A timeout needs no handling: the check below fails then.
+        let _ = tokio::time::timeout(MAX_RECORD_WAIT.min(queue_time), newer).await;
+    }
+    if primary.is_current(instance) {
+        Ok(())
+    } else if revision() > primary.revision {
+        // The sender is about to learn of the change itself.
+        Err(ForwardError::Attempt(AttemptError::NotRun(Code::Busy)))
+    } else {
+        Err(ForwardError::Declined(Suspicion::Disagrees))
+    }
+}
+
 /// Runs the next statement of a forwarded transaction. A transaction that the endpoint has ended
 /// releases its connection.
 ///
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -262,25 +262,21 @@
                 Change::Allocation => self
                     .quota
                     .apply_allocation(self.now(), self.view.borrow().allocation()),
-                Change::Endpoint(id) => self.close_if_draining(id),
+                Change::Endpoint(id) => {
+                    self.forwards.discard_plan(id);
+                    self.close_if_draining(id);
+                }
+                Change::Instance(name) => self.forwards.clear_suspicion(name),
                 Change::Catalog(_) => self
                     .quota
                     .apply_rates(self.now(), self.catalog().as_deref()),
                 _ => {}
             }
         }
-        let changes_plans = |change: &Change| {
-            matches!(
-                change,
-                Change::Catalog(_) | Change::Instance(_) | Change::Endpoint(_)
-            )
-        };
-        if changes.iter().any(changes_plans) {
-            self.forwards.discard_plans();
-        }
         let changes_limits =
             |change: &Change| matches!(change, Change::Catalog(_) | Change::Instance(_));
         if changes.iter().any(changes_limits) {
+            self.forwards.discard_plans();
             self.pool.apply_limits(|endpoint| self.allot(endpoint));
         }
         self.view_changed.send_modify(|count| *count += 1);
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -292,6 +292,15 @@
     Unanswered,
 }
 
+/// Why a call that was sent has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unanswered {
+    /// No answer arrived within the timeout.
+    TimedOut,
+    /// The connection ended.
+    Closed,
+}
+
 /// Client of another instance over one connection.
 #[derive(Clone)]
 pub struct Client {
@@ -315,7 +324,7 @@
         &self,
         timeout: Duration,
         statement: Forwarded,
-    ) -> Result<Result<ForwardReply, ForwardError>, CallError> {
+    ) -> Result<Result<ForwardReply, ForwardError>, Unanswered> {
         self.call(timeout, async move |client, context| {
             client.forward(context, statement).await
         })
@@ -332,7 +341,7 @@
         timeout: Duration,
         lease: u64,
         statement: ForwardedStatement,
-    ) -> Result<Result<ForwardReply, ForwardError>, CallError> {
+    ) -> Result<Result<ForwardReply, ForwardError>, Unanswered> {
         self.call(timeout, async move |client, context| {
             client.forward_next(context, lease, statement).await
         })
@@ -344,14 +353,14 @@
     /// # Errors
     ///
     /// Returns an error if no answer arrived; the lease ends by its timeout then.
-    pub async fn forward_end(&self, lease: u64) -> Result<(), CallError> {
+    pub async fn forward_end(&self, lease: u64) -> Result<(), Unanswered> {
         self.call(VIEW_TIMEOUT, async move |client, context| {
             client.forward_end(context, lease).await
         })
         .await
     }
 
-    async fn call<F, T>(&self, timeout: Duration, call: F) -> Result<T, CallError>
+    async fn call<F, T>(&self, timeout: Duration, call: F) -> Result<T, Unanswered>
     where
         F: AsyncFnOnce(PeerClient, context::Context) -> Result<T, client::RpcError>,
     {
@@ -360,7 +369,8 @@
         let answer = tokio::time::timeout(timeout, call(self.calls.clone(), context));
         match answer.await {
             Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(_)) | Err(_) => Err(CallError::Unanswered),
+            Ok(Err(client::RpcError::DeadlineExceeded)) | Err(_) => Err(Unanswered::TimedOut),
+            Ok(Err(_)) => Err(Unanswered::Closed),
         }
     }
 }
@@ -551,10 +561,12 @@
         connection.client(to).await
     }
 
-    /// Opens a new connection for the next forwarded statement. Transactions go on over the old one.
-    pub fn replace_forward_client(&self, to: SocketAddr) {
+    /// Opens a new connection for the next forwarded statement in place of that of `failed`.
+    /// Transactions go on over the old one.
+    pub fn replace_forward_client(&self, to: SocketAddr, failed: &Client) {
         if let Some(connection) = self.forwards.borrow().get(&to) {
-            *connection.client.borrow_mut() = None;
+            let mut client = connection.client.borrow_mut();
+            client.take_if(|client| Rc::ptr_eq(&client.is_closed, &failed.is_closed));
         }
     }
 
