--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -5,6 +5,7 @@
 //! compared the records with what all instances remember, has written newer ones again, and has named
 //! the era under [`ERA_KEY`]. A lease from before stays valid meanwhile until it expires.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 use filbertbay_coordination::succession::{MAX_PRIMARY_LEASE, Phase, PrimaryRecord};
 use filbertbay_state::status::Role;
 use futures::future::join_all;
+use rand::Rng;
+use rand::seq::SliceRandom;
 use slog::{info, warn};
 
 use crate::endpoint::Endpoint;
@@ -27,8 +30,20 @@
 /// Time that an instance waits for each instance before it to confirm first.
 const STAGGER_PER_RANK: Duration = Duration::from_millis(150);
 
-/// Upper limit of the stagger in a large fleet.
-const MAX_STAGGER: Duration = Duration::from_millis(1_500);
+/// Stagger above which instances of a large fleet wait for a random time, at most as long again.
+const MAX_STAGGER: Duration = Duration::from_secs(4);
+
+/// Longest time over which a fleet spreads what every instance writes in a new era.
+const MAX_SPREAD: Duration = Duration::from_millis(1_500);
+
+/// Part of this time for each instance of the fleet.
+const SPREAD_PER_INSTANCE: Duration = Duration::from_millis(2);
+
+/// Instances asked first; records that they remember need not be sent by the others.
+const FIRST_BATCH: usize = 4;
+
+/// Instances asked at a time after that.
+const BATCH: usize = 64;
 
 /// Delay before a failed confirmation is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -77,7 +92,11 @@
     let order = rendezvous::rank("era", names, |name| name);
     let rank = order.iter().position(|name| *name == own.as_ref());
     let rank = u32::try_from(rank.unwrap_or(0)).unwrap_or(u32::MAX);
-    STAGGER_PER_RANK.saturating_mul(rank).min(MAX_STAGGER)
+    let stagger = STAGGER_PER_RANK.saturating_mul(rank);
+    if stagger <= MAX_STAGGER {
+        return stagger;
+    }
+    MAX_STAGGER + MAX_STAGGER.mul_f64(rand::rng().random())
 }
 
 /// Writes the newest known records that the store lacks, and names the era if all are confirmed.
@@ -116,16 +135,25 @@
         peers.remove(&own);
         (peers, view.era_since())
     };
-    let requests = peers
-        .values()
-        .map(|peer| instance.peers.records(peer.address));
-    let answers = join_all(requests).await;
-    let missing = answers
-        .iter()
-        .filter(|answer| matches!(answer, Err(CallError::Unanswered)))
-        .count();
-    for item in answers.into_iter().flatten().flatten() {
-        instance.remember(&item.key, item.value);
+    let mut addresses: Vec<SocketAddr> = peers.values().map(|peer| peer.address).collect();
+    addresses.shuffle(&mut rand::rng());
+    let (first, rest) = addresses.split_at(FIRST_BATCH.min(addresses.len()));
+    let mut missing = 0;
+    for batch in std::iter::once(first).chain(rest.chunks(BATCH)) {
+        let digest = instance.view.borrow().records_digest();
+        let requests = batch
+            .iter()
+            .map(|peer| instance.peers.records(*peer, digest));
+        for answer in join_all(requests).await {
+            match answer {
+                Ok(items) => items
+                    .into_iter()
+                    .for_each(|item| instance.remember(&item.key, item.value)),
+                Err(CallError::Unanswered) => missing += 1,
+                // No process runs there that could remember anything.
+                Err(CallError::Absent) => {}
+            }
+        }
     }
     let is_expired = since.is_some_and(|since| instance.now() >= since + MAX_PRIMARY_LEASE);
     if missing * MISSING_DIVISOR > peers.len() && !is_expired {
@@ -250,9 +278,10 @@
     let _ = changed.wait_for(is_later).await;
 }
 
-/// Returns the longest time over which a fleet spreads what every instance writes in a new era.
+/// Returns the time over which the fleet spreads what every instance writes in a new era.
 pub fn spread(instance: &Instance) -> Duration {
-    const PER_INSTANCE: Duration = Duration::from_millis(2);
     let instances = u32::try_from(instance.view.borrow().peers().len()).unwrap_or(u32::MAX);
-    PER_INSTANCE.saturating_mul(instances).min(MAX_STAGGER)
+    SPREAD_PER_INSTANCE
+        .saturating_mul(instances)
+        .min(MAX_SPREAD)
 }
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -134,8 +134,9 @@
     /// Records watermarks whose times are on the clock of `incarnation` of this instance, and returns
     /// those that this instance knows.
     async fn watermarks(incarnation: u64, reported: Vec<Watermark>) -> WatermarkReply;
-    /// Returns the records of primaries and the allocation of lanes that this instance knows.
-    async fn records() -> Vec<Item>;
+    /// Returns the records of primaries and the allocation of lanes that this instance knows, or none
+    /// if they have the digest `known`.
+    async fn records(known: u64) -> Vec<Item>;
 }
 
 #[derive(Clone)]
@@ -192,8 +193,12 @@
         freshness::handle_report(&self.0, incarnation, &reported)
     }
 
-    async fn records(self, _: context::Context) -> Vec<Item> {
-        self.0.view.borrow().own_records()
+    async fn records(self, _: context::Context, known: u64) -> Vec<Item> {
+        let view = self.0.view.borrow();
+        if view.records_digest() == known {
+            return Vec::new();
+        }
+        view.own_records()
     }
 }
 
@@ -420,14 +425,15 @@
         .await
     }
 
-    /// Returns the records of primaries and the allocation of lanes that another instance knows.
+    /// Returns the records of primaries and the allocation of lanes that another instance knows, or none
+    /// if they have the digest `known`.
     ///
     /// # Errors
     ///
     /// Returns an error if no answer arrived; [`CallError::Absent`] proves that no process runs.
-    pub async fn records(&self, to: SocketAddr) -> Result<Vec<Item>, CallError> {
+    pub async fn records(&self, to: SocketAddr, known: u64) -> Result<Vec<Item>, CallError> {
         self.call(to, VIEW_TIMEOUT, async move |client, context| {
-            client.records(context).await
+            client.records(context, known).await
         })
         .await
     }
--- a/crates/entry/src/view/remembered.rs
+++ b/crates/entry/src/view/remembered.rs
@@ -6,6 +6,7 @@
 //! Operators and endpoints write their values again; until then evacuations and drains are kept.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -113,6 +114,14 @@
             .collect()
     }
 
+    /// Returns a digest of [`View::own_records`], equal in instances that know the same ones.
+    pub fn records_digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        let records = self.items.values().filter(|item| is_own_record(&item.key));
+        records.for_each(|item| (&item.key, &item.value).hash(&mut hasher));
+        hasher.finish()
+    }
+
     /// Applies a value of an own record that another instance remembers, or that replaces one of an
     /// earlier era, if it is newer than the one known here. It is then outdated in the store.
     pub fn remember(
