--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -154,8 +154,9 @@
     /// Adds usage counts to those to be reported; `None` if this instance does not hold the usage lock
     /// with the fencing token of the push.
     async fn usage(push: Push) -> Option<UsageReply>;
-    /// Returns the records of primaries and the allocation of lanes that this instance knows.
-    async fn records() -> Vec<Item>;
+    /// Returns the records of primaries and the allocation of lanes that this instance knows, or none
+    /// if they have the digest `known`.
+    async fn records(known: u64) -> Vec<Item>;
     /// Runs a statement on a connection of this instance, and keeps that for the transaction that the
     /// statement began.
     async fn forward(statement: Forwarded) -> Result<ForwardReply, ForwardError>;
@@ -227,8 +228,12 @@
         self.0.usage.receive(&self.0, &push)
     }
 
-    async fn records(self, _: context::Context) -> Vec<Item> {
-        self.0.view.borrow().own_records()
+    async fn records(self, _: context::Context, known: u64) -> Vec<Item> {
+        let view = self.0.view.borrow();
+        if view.records_digest() == known {
+            return Vec::new();
+        }
+        view.own_records()
     }
 
     async fn forward(
@@ -590,14 +595,15 @@
         .await
     }
 
-    /// Returns the records of primaries and the allocation of lanes that another instance knows.
+    /// Returns the records of primaries and the allocation of lanes that another instance knows, or none
+    /// if they have the digest `known`.
     ///
     /// # Errors
     ///
     /// Returns an error if no answer arrived; [`CallError::Absent`] proves that no process runs.
-    pub async fn records(&self, to: SocketAddr) -> Result<Vec<Item>, CallError> {
+    pub async fn records(&self, to: SocketAddr, known: u64) -> Result<Vec<Item>, CallError> {
         self.call(to, VIEW_TIMEOUT, async move |client, context| {
-            client.records(context).await
+            client.records(context, known).await
         })
         .await
     }
