--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 //! them in simulations.
 
 pub mod authority;
+pub mod budget;
 pub mod contact;
 pub mod drain;
 pub mod freshness;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -33,6 +33,19 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Memory of a machine whose settings don't state it.
+const DEFAULT_MEMORY_MB: usize = 256;
+
+/// Smallest memory in which the budget of the sessions holds the largest answer of an endpoint.
+const MIN_MEMORY_MB: usize = 48;
+
+/// Default of [`Settings::caller_timeout_ms`], beyond the time limits of all clients of the users.
+const DEFAULT_CALLER_TIMEOUT_MS: u64 = 30_000;
+
+/// The sessions may hold the memory divided by this; the rest is for the instance itself and the first
+/// bytes of each session, which are not charged.
+const SESSION_MEMORY_DIVISOR: usize = 4;
+
 /// Settings of one entry instance.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -69,6 +82,21 @@
     /// instances, at any time.
     #[serde(default)]
     pub rate_slack: u64,
+    /// Memory of the machine, in units of 2^20 bytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
+    /// Longest time in which a caller may finish a message that it has begun, or receive an answer, in
+    /// milliseconds.
+    #[serde(default = "default_caller_timeout_ms")]
+    pub caller_timeout_ms: u64,
+}
+
+fn default_memory_mb() -> usize {
+    DEFAULT_MEMORY_MB
+}
+
+fn default_caller_timeout_ms() -> u64 {
+    DEFAULT_CALLER_TIMEOUT_MS
 }
 
 /// Error of reading or checking settings.
@@ -136,6 +164,13 @@
         if self.grace_s == 0 {
             return invalid("grace_s", "must be above zero".to_owned());
         }
+        if self.memory_mb < MIN_MEMORY_MB {
+            let problem = format!("must be at least {MIN_MEMORY_MB}");
+            return invalid("memory_mb", problem);
+        }
+        if self.caller_timeout_ms == 0 {
+            return invalid("caller_timeout_ms", "must be above zero".to_owned());
+        }
         let listeners = [self.callers, self.readiness, self.peers, self.metrics];
         for (index, one) in listeners.iter().enumerate() {
             if listeners[..index].contains(one) {
@@ -154,4 +189,14 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs(self.grace_s)
     }
+
+    /// Returns the bytes that all sessions together may hold beyond their free allowances.
+    pub fn session_memory(&self) -> usize {
+        (self.memory_mb << 20) / SESSION_MEMORY_DIVISOR
+    }
+
+    /// Returns the longest time for one message of a caller, or for the delivery of one answer.
+    pub fn caller_timeout(&self) -> Duration {
+        Duration::from_millis(self.caller_timeout_ms)
+    }
 }
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -22,6 +22,8 @@
         ("data_centre", json!("elsewhere")),
         ("readiness_path", json!("ready")),
         ("grace_s", json!(0)),
+        ("memory_mb", json!(16)),
+        ("caller_timeout_ms", json!(0)),
         ("metrics", json!("127.0.0.1:6432")),
     ];
     for (field, value) in invalid {
