Bound what clients and other programs can make an entry instance hold

Cause: input of callers, answers, session values and frames on the port of instances were bounded one by one (1 MiB, 8 MiB, 256 values, 16 MiB) and not in sum, and a client could keep what it held for ever.

Change: one budget of bytes for all sessions, a quarter of memory_mb, charged before memory is taken; the first 8 KiB of an input, an answer and the kept values are free. Charged input and answers have caller_timeout_ms. Frames on the port of instances are charged to a budget of their own when their length is known, have 5 s, and requests have 4 MiB at most; connections there take a quarter of file_limit at most. Acceptor::adopt and Drivers get the budget.

Ruled out: failing the connection to an endpoint whose answer has no room, which would count as a failure of the endpoint; its rows are discarded instead, and the statement is refused with FAILED, as it ran.

A test is added, entry_stopped_clients_release_their_memory; nothing is changed in the others.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,6 +12,7 @@
 
 use crate::caller::Caller;
 use crate::instance::{Drivers, Instance, Phase};
+use crate::memory::Input;
 use crate::session;
 use crate::settings::Settings;
 use crate::{freshness, health, peer, quota, succession, watcher};
@@ -30,8 +31,8 @@
 
 /// Wraps accepted TCP connections in the protocol of the callers.
 pub trait Acceptor {
-    /// Returns the caller that speaks over `stream`.
-    fn adopt(&self, stream: tokio::net::TcpStream) -> Box<dyn Caller>;
+    /// Returns the caller that speaks over `stream` and charges what it receives to `input`.
+    fn adopt(&self, stream: tokio::net::TcpStream, input: Rc<Input>) -> Box<dyn Caller>;
 }
 
 /// Runs an entry instance until SIGTERM.
@@ -156,13 +157,17 @@
                     return;
                 };
                 if session_count(&token) > max_sessions {
+                    metrics::counter!("filbertbay_callers_closed_total", "cause" => "connections")
+                        .increment(1);
                     warn!(instance.log, "caller turned away, too many connections"; "limit" => max_sessions);
                     continue;
                 }
                 if let Err(error) = crate::socket::configure(&stream) {
                     info!(instance.log, "options of a caller's connection not set"; "error" => %error);
                 }
-                let session = session::serve(Rc::clone(&instance), acceptor.adopt(stream));
+                let input = Input::new(&instance.drivers.memory, instance.clock);
+                let caller = acceptor.adopt(stream, Rc::clone(&input));
+                let session = session::serve(Rc::clone(&instance), caller, input);
                 tokio::task::spawn_local(async move {
                     session.await;
                     drop(token);
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::endpoint::{Connector, Endpoint};
 use crate::freshness::Watermarks;
+use crate::memory::Budget;
 use crate::peer::Peers;
 use crate::pool::{EndpointPool, Pool};
 use crate::quota::Quota;
@@ -65,6 +66,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// Opens connections to endpoints.
     pub connector: Rc<dyn Connector>,
+    /// Budget of the bytes that sessions hold, which the connector charges too.
+    pub memory: Budget,
 }
 
 impl std::fmt::Debug for Drivers {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod instance;
 pub mod log;
+pub mod memory;
 pub mod peer;
 pub mod pool;
 pub mod quota;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -10,6 +10,8 @@
 //! | `share` | messages of the rate limiters about loans of tokens |
 //! | `watermarks` | exchanges the positions of primaries that prove the freshness of replicas |
 
+mod inbound;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,18 +23,26 @@
 use filbertbay_state::position::Position;
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
-use slog::info;
+use slog::{info, warn};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use self::inbound::Inbound;
 use crate::freshness;
 use crate::instance::Instance;
+use crate::memory::Budget;
 use crate::store::{Item, Lease};
 use crate::succession;
 
+/// Largest request; a listing of watermarks of a large fleet has some hundred kilobytes.
+const MAX_REQUEST_BYTES: usize = 4 << 20;
+
+/// Connections from other instances take at most the file limit divided by this.
+const DESCRIPTOR_DIVISOR: usize = 4;
+
 /// Largest message; a listing of the store consists of at most a few values of a megabyte.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
@@ -208,12 +218,25 @@
 
 /// Serves other instances until the process ends.
 pub fn serve(listener: TcpListener, instance: Rc<Instance>) {
+    let settings = instance.settings();
+    let budget = Budget::new(settings.peer_memory());
+    let max_connections = settings.file_limit / DESCRIPTOR_DIVISOR;
+    let tokens = Rc::new(());
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
+                Ok((_, from)) if Rc::strong_count(&tokens) > max_connections => {
+                    count_closed("connections");
+                    warn!(instance.log, "connection to the port of instances turned away, too many";
+                        "from" => %from, "limit" => max_connections);
+                }
                 Ok((stream, _)) => {
                     let service = Service(Rc::clone(&instance));
-                    tokio::task::spawn_local(serve_connection(stream, service));
+                    let (stream, token) = (Inbound::new(stream, &budget), Rc::clone(&tokens));
+                    tokio::task::spawn_local(async move {
+                        serve_connection(stream, service).await;
+                        drop(token);
+                    });
                 }
                 Err(error) => {
                     // A failed accept concerns one connection; file descriptors may be exhausted.
@@ -225,11 +248,17 @@
     });
 }
 
-async fn serve_connection(stream: TcpStream, service: Service) {
-    if let Err(error) = crate::socket::configure(&stream) {
+fn count_closed(cause: &'static str) {
+    metrics::counter!("filbertbay_peers_closed_total", "cause" => cause).increment(1);
+}
+
+async fn serve_connection(stream: Inbound, service: Service) {
+    if let Err(error) = stream.configure() {
         info!(service.0.log, "socket options of a peer connection not set"; "error" => %error);
     }
-    let framed = codec().new_framed(stream);
+    let mut codec = codec();
+    codec.max_frame_length(MAX_REQUEST_BYTES);
+    let framed = codec.new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(service.serve());
     requests
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -9,6 +9,7 @@
 mod transaction;
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -26,6 +27,7 @@
 use crate::catalog::{Catalog, Route, Workspace};
 use crate::endpoint::Access;
 use crate::instance::Instance;
+use crate::memory::{Charge, Input, answer_charge};
 
 /// A statement that no endpoint has received waits at most the route's latency objective divided by
 /// this.
@@ -53,6 +55,12 @@
 /// Longest wait for the first configuration. Callers give up on a session after 2 s.
 const CATALOG_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for the delivery of the refusal of a message for which there is no memory.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Text of the refusal for which there is no memory.
+const NO_MEMORY: &str = "no memory for a large message, retry after 500 ms";
+
 /// Session values that one session may keep, and prepared statements likewise.
 const MAX_SESSION_ITEMS: usize = 256;
 
@@ -60,6 +68,9 @@
 pub struct Session {
     instance: Rc<Instance>,
     caller: Box<dyn Caller>,
+    input: Rc<Input>,
+    /// Charge of the session values and prepared statements.
+    kept: Charge,
     startup: StartupRequest,
     route: Arc<Route>,
     workspace: Arc<Workspace>,
@@ -92,16 +103,19 @@
 }
 
 /// Serves one caller until either side closes the session.
-pub async fn serve(instance: Rc<Instance>, mut caller: Box<dyn Caller>) {
+pub async fn serve(instance: Rc<Instance>, mut caller: Box<dyn Caller>, input: Rc<Input>) {
     metrics::gauge!("filbertbay_sessions").increment(1.0);
     match open(&instance, caller.as_mut()).await {
         Ok(Ok((startup, catalog, route, workspace))) => {
             let log = instance
                 .log
                 .new(slog::o!("workspace" => workspace.name.to_string()));
+            let kept = instance.drivers.memory.charge();
             let mut session = Session {
                 instance,
                 caller,
+                input,
+                kept,
                 startup,
                 route,
                 workspace,
@@ -114,7 +128,7 @@
             };
             let end = session.run().await;
             if let Err(EndReason::Failed(error)) = end {
-                debug!(session.log, "session failed"; "error" => %error);
+                session.report_failure(&error).await;
             }
             session.close();
         }
@@ -193,7 +207,9 @@
             let unanswered = UnansweredStatement::new(&self.instance);
             let (answer, stays_open) = self.handle_before_exit(&statement, arrived).await;
             self.report(&statement, arrived, &answer);
-            self.caller.answer(&answer).await?;
+            let limit = self.instance.settings().caller_timeout();
+            let answered = tokio::time::timeout(limit, self.caller.answer(&answer)).await;
+            answered.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
             drop(unanswered);
             if !stays_open || self.closes_after(&statement) {
                 return Err(EndReason::Closed);
@@ -222,12 +238,19 @@
             let idle_deadline = self
                 .transaction
                 .idle_deadline(self.catalog.idle_transaction_timeout);
-            let wake = [close_at, idle_deadline].into_iter().flatten().min();
+            let limit = self.instance.settings().caller_timeout();
+            let message_deadline = self.input.held_since().map(|since| since + limit);
+            if message_deadline.is_some_and(|at| now >= at) {
+                return Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into());
+            }
+            let deadlines = [close_at, idle_deadline, message_deadline];
+            let wake = deadlines.into_iter().flatten().min();
             let wait = wake.map(|at| at.saturating_duration_since(now));
             let watches_view = self.transaction.is_open();
             tokio::select! {
                 statement = self.caller.next() => return Ok(statement?),
                 _ = phase.changed() => {}
+                () = self.input.wait_for_hold() => {}
                 _ = changed.changed(), if watches_view => {}
                 () = sleep_optional(wait), if wait.is_some() => {}
             }
@@ -291,6 +314,29 @@
         (answer, true)
     }
 
+    /// Logs and counts why a session failed, and sends the caller the reason if the instance ended it.
+    async fn report_failure(&mut self, error: &std::io::Error) {
+        let cause = match error.kind() {
+            ErrorKind::OutOfMemory => "memory",
+            ErrorKind::TimedOut => "slow",
+            ErrorKind::InvalidData => "malformed",
+            _ => {
+                debug!(self.log, "session failed"; "error" => %error);
+                return;
+            }
+        };
+        metrics::counter!("filbertbay_callers_closed_total", "cause" => cause).increment(1);
+        info!(self.log, "session closed by the instance"; "cause" => cause, "error" => %error,
+            "charged_bytes" => self.instance.drivers.memory.used());
+        if cause == "memory" {
+            let refusal = Refusal::new(Code::Busy, NO_MEMORY);
+            let sent = tokio::time::timeout(REFUSAL_TIMEOUT, self.caller.terminate(&refusal)).await;
+            if let Ok(Err(error)) = sent {
+                debug!(self.log, "refusal not delivered"; "error" => %error);
+            }
+        }
+    }
+
     /// Switches to the newest configuration.
     ///
     /// Returns a refusal if the new configuration lacks the route or the key.
@@ -319,6 +365,9 @@
         if self.values.len() >= MAX_SESSION_ITEMS && !self.values.contains_key(name) {
             return self.refuse(Code::TooLarge, "the session has too many values");
         }
+        if !self.has_room_for(name, value) {
+            return self.refuse(Code::TooLarge, NO_MEMORY);
+        }
         self.values.insert(Arc::clone(name), Arc::clone(value));
         Answer::local(self.transaction.state())
     }
@@ -330,11 +379,26 @@
                 "the session has too many prepared statements",
             );
         }
+        if !self.has_room_for(name, template) {
+            return self.refuse(Code::TooLarge, NO_MEMORY);
+        }
         let statement = (access, Arc::clone(template));
         self.prepared.insert(Arc::clone(name), statement);
         Answer::local(self.transaction.state())
     }
 
+    /// Charges the session's values and prepared statements with one more, and returns whether the
+    /// budget had room. One that is replaced or removed stays charged until the next.
+    fn has_room_for(&mut self, name: &str, text: &str) -> bool {
+        let values = self.values.iter();
+        let values = values.map(|(name, value)| name.len() + value.len());
+        let prepared = self.prepared.iter();
+        let prepared = prepared.map(|(name, (_, template))| name.len() + template.len());
+        let kept: usize = values.chain(prepared).sum();
+        let bytes = kept + name.len() + text.len();
+        self.kept.try_resize(answer_charge(bytes))
+    }
+
     fn deallocate(&mut self, name: &Arc<str>) -> Answer {
         if self.prepared.remove(name).is_none() {
             let text = format!("prepared statement {name:?} does not exist");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -46,6 +46,9 @@
 /// bytes of each session, which are not charged.
 const SESSION_MEMORY_DIVISOR: usize = 4;
 
+/// Unfinished requests of other instances may hold the memory divided by this.
+const PEER_MEMORY_DIVISOR: usize = 8;
+
 /// Settings of one entry instance.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -195,6 +198,11 @@
         (self.memory_mb << 20) / SESSION_MEMORY_DIVISOR
     }
 
+    /// Returns the bytes that unfinished requests of other instances may hold.
+    pub fn peer_memory(&self) -> usize {
+        (self.memory_mb << 20) / PEER_MEMORY_DIVISOR
+    }
+
     /// Returns the longest time for one message of a caller, or for the delivery of one answer.
     pub fn caller_timeout(&self) -> Duration {
         Duration::from_millis(self.caller_timeout_ms)
--- a/crates/filbertbay/tests/crowd_entry.rs
+++ b/crates/filbertbay/tests/crowd_entry.rs
@@ -366,6 +366,40 @@
     });
 }
 
+/// Clients that stop in the middle of large messages lose the memory that they hold: a large message of
+/// another client is served while they stay connected.
+#[test]
+fn entry_stopped_clients_release_their_memory() {
+    run(async || {
+        let stage = Stage::set().await;
+        let crowd = start(
+            stage.callers,
+            CROWD,
+            async |number, mut stream: TcpStream| {
+                let message = format!("QUERY w{number} WRITE b{number} {}", large(LARGE_BYTES / 2));
+                let _ = stream.write_all(message.as_bytes()).await;
+                std::future::pending::<()>().await;
+            },
+        );
+        tokio::time::sleep(PLAY_TIME).await;
+        let text = format!("WRITE big {}", large(LARGE_BYTES));
+        let served = async {
+            loop {
+                let (mut caller, _) = Caller::connect(stage.callers, "orders", KEY).await;
+                let message = format!("QUERY large {text}\r\n");
+                let sent = caller.try_send(&message).await;
+                if sent && caller.read_line().await.starts_with("COMPLETE i-") {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        };
+        let served = tokio::time::timeout(Duration::from_mins(1), served).await;
+        assert!(served.is_ok(), "no large message was served in 60 s");
+        stage.check(crowd).await;
+    });
+}
+
 /// More clients than the process has descriptors for connect, and send nothing.
 #[test]
 fn entry_idle_connections() {
