--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -17,6 +17,7 @@
 use crate::endpoint::{Connector, Endpoint};
 use crate::forward::{self, Forwards};
 use crate::freshness::Watermarks;
+use crate::memory::Budget;
 use crate::peer::Peers;
 use crate::pool::{EndpointPool, Pool};
 use crate::quota::Quota;
@@ -69,6 +70,8 @@
     pub dialect: Rc<dyn Dialect>,
     /// Opens connections to endpoints.
     pub connector: Rc<dyn Connector>,
+    /// Budget of the bytes that sessions hold, which the connector charges too.
+    pub memory: Budget,
 }
 
 impl std::fmt::Debug for Drivers {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod instance;
 pub mod lock;
 pub mod log;
+pub mod memory;
 pub mod peer;
 pub mod pool;
 pub mod quota;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -15,6 +15,8 @@
 //!
 //! Forwarded statements have a connection of their own, so that slow ones delay no other call.
 
+mod inbound;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,19 +29,27 @@
 use filbertbay_state::position::Position;
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
-use slog::info;
+use slog::{info, warn};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use self::inbound::Inbound;
 use crate::forward::{self, ForwardError, ForwardReply, Forwarded, ForwardedStatement};
 use crate::freshness;
 use crate::instance::Instance;
+use crate::memory::Budget;
 use crate::store::{Item, Lease};
 use crate::succession;
 
+/// Largest request; a listing of watermarks of a large fleet has some hundred kilobytes.
+const MAX_REQUEST_BYTES: usize = 4 << 20;
+
+/// Connections from other instances take at most the file limit divided by this.
+const DESCRIPTOR_DIVISOR: usize = 4;
+
 /// Largest message; a listing of the store consists of at most a few values of a megabyte.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
@@ -276,13 +286,26 @@
 
 /// Serves other instances until the process ends.
 pub fn serve(listener: TcpListener, instance: Rc<Instance>) {
+    let settings = instance.settings();
+    let budget = Budget::new(settings.peer_memory());
+    let max_connections = settings.file_limit / DESCRIPTOR_DIVISOR;
+    let tokens = Rc::new(());
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
+                Ok((_, from)) if Rc::strong_count(&tokens) > max_connections => {
+                    count_closed("connections");
+                    warn!(instance.log, "connection to the port of instances turned away, too many";
+                        "from" => %from, "limit" => max_connections);
+                }
                 Ok((stream, _)) => {
                     let connection = instance.forwards.leases.next_connection();
                     let service = Service(Rc::clone(&instance), connection);
-                    tokio::task::spawn_local(serve_connection(stream, service));
+                    let (stream, token) = (Inbound::new(stream, &budget), Rc::clone(&tokens));
+                    tokio::task::spawn_local(async move {
+                        serve_connection(stream, service).await;
+                        drop(token);
+                    });
                 }
                 Err(error) => {
                     // A failed accept concerns one connection; file descriptors may be exhausted.
@@ -294,12 +317,18 @@
     });
 }
 
-async fn serve_connection(stream: TcpStream, service: Service) {
-    if let Err(error) = crate::socket::configure(&stream) {
+fn count_closed(cause: &'static str) {
+    metrics::counter!("filbertbay_peers_closed_total", "cause" => cause).increment(1);
+}
+
+async fn serve_connection(stream: Inbound, service: Service) {
+    if let Err(error) = stream.configure() {
         info!(service.0.log, "socket options of a peer connection not set"; "error" => %error);
     }
     let (instance, connection) = (Rc::clone(&service.0), service.1);
-    let framed = codec().new_framed(stream);
+    let mut codec = codec();
+    codec.max_frame_length(MAX_REQUEST_BYTES);
+    let framed = codec.new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let requests = BaseChannel::with_defaults(transport).execute(service.serve());
     requests
