--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -443,10 +443,8 @@
         if begin.is_some() {
             let now = self.instance.now();
             let has_written = pending.access == Access::Write;
-            let workspace = Arc::clone(&self.workspace.name);
-            let (connection, primary_ref) = (served.connection, served.primary_ref);
             self.transaction
-                .pin(connection, workspace, primary_ref, has_written, now);
+                .pin(served.connection, served.primary_ref, has_written, now);
         } else {
             if pending.access == Access::Write {
                 self.raise_min_position(reply.position);
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -448,7 +448,7 @@
         let _in_flight = InFlightGuard::new(endpoint_pool);
         let mut aborts = endpoint_pool.subscribe_aborts();
         let sent_at = instance.now();
-        let counted = instance.usage.count(sent_at, &self.workspace.name);
+        let counted = instance.usage.count(sent_at, &self.workspace);
         let limit = deadline.saturating_duration_since(sent_at);
         let running = self.exchange(pending, begin, target, connection);
         let outcome = tokio::select! {
@@ -459,7 +459,7 @@
         let reply = match outcome {
             Ok(Ok(reply)) => reply,
             Ok(Err(ConnectionLost::BeforeSend)) => {
-                instance.usage.retract(&counted, &self.workspace.name);
+                instance.usage.retract(&counted);
                 endpoint_pool.record_failure(now);
                 return Err(AttemptError::NotRun(Code::Busy));
             }
@@ -483,7 +483,7 @@
         match &reply.result {
             Ok(_) => endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at)),
             Err(refusal) if refusal.code.is_not_run() => {
-                instance.usage.retract(&counted, &self.workspace.name);
+                instance.usage.retract(&counted);
             }
             Err(_) => {}
         }
--- a/crates/entry/src/session/transaction.rs
+++ b/crates/entry/src/session/transaction.rs
@@ -47,8 +47,6 @@
 #[derive(Debug)]
 pub(super) struct Pinned {
     connection: PooledConnection,
-    /// Name of the workspace whose statements these are.
-    workspace: Arc<str>,
     /// Primary that the transaction runs on; `None` on a replica.
     primary_ref: Option<PrimaryRef>,
     has_written: bool,
@@ -99,14 +97,12 @@
     pub(super) fn pin(
         &mut self,
         connection: PooledConnection,
-        workspace: Arc<str>,
         primary_ref: Option<PrimaryRef>,
         has_written: bool,
         now: Instant,
     ) {
         *self = Self::Pinned(Pinned {
             connection,
-            workspace,
             primary_ref,
             has_written,
             last_used: now,
@@ -368,7 +364,6 @@
         let _primary_use =
             primary_ref.map(|primary_ref| instance.track_primary_use(&primary_ref.service));
         let sent_at = instance.now();
-        let counted = instance.usage.count(sent_at, &self.workspace);
         let limit = deadline.saturating_duration_since(sent_at);
         let connection = &mut self.connection;
         let running = async {
@@ -386,9 +381,6 @@
             Ok(Ok(reply)) => {
                 endpoint_pool.record_answer(now);
                 endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
-                if matches!(&reply.result, Err(refusal) if refusal.code.is_not_run()) {
-                    instance.usage.retract(&counted, &self.workspace);
-                }
                 if let (Some(primary_ref), Some(position)) = (primary_ref, reply.position) {
                     primary_ref.record_position(instance, sent_at, position);
                 }
--- a/crates/entry/src/usage.rs
+++ b/crates/entry/src/usage.rs
@@ -1,4 +1,4 @@
-//! Counts statements for usage reports, pushes the counts to the instance that reports, and reports
+//! Counts operations for usage reports, pushes the counts to the instance that reports, and reports
 //! those of all instances while this instance holds the usage lock.
 //!
 //! See docs/design/usage.md.
@@ -15,6 +15,7 @@
 use slog::{debug, info};
 
 use self::reporter::Reporter;
+use crate::catalog::Workspace;
 use crate::clock::Clock;
 use crate::instance::Instance;
 use crate::peer::UsageReply;
@@ -83,10 +84,10 @@
     }
 }
 
-/// Statement that was counted when it was sent to an endpoint.
+/// Operation that was counted when its first statement was sent to an endpoint.
 #[derive(Debug)]
-pub struct CountedStatement {
-    counted: Option<Counted>,
+pub struct CountedOperation {
+    counted: Option<(Counted, Arc<str>)>,
 }
 
 impl Usage {
@@ -108,20 +109,25 @@
         }
     }
 
-    /// Counts a statement of a workspace that is sent to an endpoint now.
-    pub fn count(&self, now: Instant, workspace: &str) -> CountedStatement {
+    /// Counts an operation of a workspace whose only or first statement is sent to an endpoint now.
+    ///
+    /// Further statements of a transaction and those of callers without a key don't count.
+    pub fn count(&self, now: Instant, workspace: &Workspace) -> CountedOperation {
         let mut meter = self.meter.borrow_mut();
-        let meter = meter.as_mut();
-        let counted = meter.map(|meter| meter.count(self.clock.at(now), workspace));
-        CountedStatement { counted }
+        let meter = meter.as_mut().filter(|_| !workspace.is_anonymous());
+        let counted = meter.map(|meter| {
+            let counted = meter.count(self.clock.at(now), &workspace.name);
+            (counted, Arc::clone(&workspace.name))
+        });
+        CountedOperation { counted }
     }
 
-    /// Takes back a statement that its endpoint did not run.
-    pub fn retract(&self, statement: &CountedStatement, workspace: &str) {
-        if let Some(counted) = statement.counted
+    /// Takes back an operation whose statement the endpoint did not run.
+    pub fn retract(&self, operation: &CountedOperation) {
+        if let Some((counted, workspace)) = &operation.counted
             && let Some(meter) = self.meter.borrow_mut().as_mut()
         {
-            meter.retract(counted, workspace);
+            meter.retract(*counted, workspace);
         }
     }
 
