--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -70,13 +70,18 @@
 
     /// Returns whether this is [`Workspace::anonymous`].
     pub fn is_anonymous(&self) -> bool {
-        self.name.as_ref() == ANONYMOUS
+        is_anonymous(&self.name)
     }
 }
 
 /// Name that is sent to endpoints for callers without a key.
 const ANONYMOUS: &str = "-";
 
+/// Returns whether this is the name of [`Workspace::anonymous`].
+pub fn is_anonymous(workspace: &str) -> bool {
+    workspace == ANONYMOUS
+}
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -261,9 +261,7 @@
     let mut aborts = endpoint_pool.subscribe_aborts();
     let _in_flight = InFlightGuard::new(&endpoint_pool);
     let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
-    let workspace = connection.workspace();
     let sent_at = instance.now();
-    let counted = instance.usage.count(sent_at, &workspace);
     let limit = deadline.saturating_duration_since(sent_at);
     let running = async {
         let name = connection.apply_session_state(work.state()).await?;
@@ -278,9 +276,6 @@
         Ok(Ok(reply)) => {
             endpoint_pool.record_answer(now);
             endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
-            if matches!(&reply.result, Err(refusal) if refusal.code.is_not_run()) {
-                instance.usage.retract(&counted, &workspace);
-            }
             if let (Some(primary), Some(position)) = (primary_ref, reply.position) {
                 primary.record_position(instance, sent_at, position);
             }
@@ -334,7 +329,7 @@
     let reply = match outcome {
         Ok(Ok(reply)) => reply,
         Ok(Err(ConnectionLost::BeforeSend)) => {
-            instance.usage.retract(&counted, execution.workspace);
+            instance.usage.retract(&counted);
             endpoint_pool.record_failure(now);
             return Err(AttemptError::NotRun(Code::Busy));
         }
@@ -354,7 +349,7 @@
     match &reply.result {
         Ok(_) => endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at)),
         Err(refusal) if refusal.code.is_not_run() => {
-            instance.usage.retract(&counted, execution.workspace);
+            instance.usage.retract(&counted);
         }
         Err(_) => {}
     }
