--- a/crates/filbertbay/tests/crowd_entry.rs
+++ b/crates/filbertbay/tests/crowd_entry.rs
@@ -400,6 +400,45 @@
     });
 }
 
+/// Clients that read too slowly lose the memory that they hold: a large answer to another client is
+/// served while they stay.
+#[test]
+fn entry_slow_readers_release_their_memory() {
+    run(async || {
+        let stage = Stage::set().await;
+        stage.store_large_item().await;
+        let crowd = start(
+            stage.callers,
+            CROWD,
+            async |number, mut stream: TcpStream| {
+                for count in 0..16 {
+                    let request = format!("QUERY r{number}.{count} READ big\r\n");
+                    if stream.write_all(request.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+                let mut byte = [0];
+                while matches!(stream.read(&mut byte).await, Ok(count) if count > 0) {
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            },
+        );
+        tokio::time::sleep(PLAY_TIME).await;
+        let served = async {
+            loop {
+                let (mut caller, _) = Caller::connect(stage.callers, "orders", KEY).await;
+                if caller.query("READ big").await[0].starts_with("ROW xxx") {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        };
+        let served = tokio::time::timeout(Duration::from_mins(1), served).await;
+        assert!(served.is_ok(), "no large answer was served in 60 s");
+        stage.check(crowd).await;
+    });
+}
+
 /// More clients than the process has descriptors for connect, and send nothing.
 #[test]
 fn entry_idle_connections() {
