Let admission decide who waits at an endpoint, and learn how much it takes

Cause: a statement waited for a connection by priority and arrival alone; nothing bounded the statements in flight at an endpoint, nothing refused one whose turn could not come, and an endpoint that failed a part of its statements ranked as well as its peers.

Change: coordination::admission (waiting list by priority, fair within it through queue::Queue, learnt concurrency, refusal with a spread time to return), limit::ConcurrencyLimit reshaped (baselines by kind at rest, refusals, starts from the slots), placement with the observed share of failures and a random choice among nearly equal replicas. The pool hands turns over as guards, so that a statement whose caller leaves between grant and use no longer loses the slot.

--- a/crates/coordination/examples/queues.rs
+++ b/crates/coordination/examples/queues.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::limit::{ConcurrencyLimit, Config as LimitConfig};
+use filbertbay_coordination::limit::{ConcurrencyLimit, Config as LimitConfig, Outcome};
 use filbertbay_coordination::queue::{Config, PushOutcome, Queue, Request, Ticket};
 use serde_json::json;
 
@@ -67,7 +67,13 @@
         now,
         fifo: VecDeque::new(),
         queue: Queue::new(Config::default()),
-        limit: ConcurrencyLimit::new(now, LimitConfig { max: CONNECTIONS }),
+        limit: ConcurrencyLimit::new(
+            now,
+            LimitConfig {
+                slots: SLOTS,
+                max: CONNECTIONS,
+            },
+        ),
         statements: BTreeMap::new(),
         at_member: VecDeque::new(),
         running: Vec::new(),
@@ -144,7 +150,7 @@
                 statement.sent = now;
             }
             if self.discipline == Discipline::FairLimited {
-                self.limit.try_acquire();
+                self.limit.try_acquire(now);
             }
             self.at_member.push_back(id);
         }
@@ -179,7 +185,8 @@
         };
         let latency = self.now - statement.sent;
         if self.discipline == Discipline::FairLimited {
-            self.limit.release(self.now, Some(latency));
+            self.limit
+                .release(self.now, Outcome::Answered { kind: 0, latency });
         }
         self.queue
             .complete(&workspace_name(statement.workspace), SERVICE_TIME);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! that the caller passes in. The daemon drives these state machines in production, tests drive
 //! them in simulations.
 
+pub mod admission;
 pub mod authority;
 pub mod contact;
 pub mod drain;
--- a/crates/coordination/src/queue.rs
+++ b/crates/coordination/src/queue.rs
@@ -41,6 +41,9 @@
 /// Inverse of the weight of a new sample in the moving average of service times.
 const AVERAGE_DIVISOR: u32 = 8;
 
+/// Average service times by which a preferred workspace may be served early.
+const MAX_LEAD: u64 = 4;
+
 /// Service time assumed until the first statement has completed.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(1);
 
@@ -161,7 +164,7 @@
             return PushOutcome::Refused { retry_after: wait };
         }
         let evicted = if self.waiting >= self.config.capacity {
-            match self.evict(&request) {
+            match self.evict_for(&request.workspace, request.weight) {
                 Some(ticket) => Some(ticket),
                 None => return PushOutcome::Refused { retry_after: wait },
             }
@@ -176,15 +179,35 @@
     ///
     /// Skips statements whose deadline has passed; they stay queued until [`Queue::expire`].
     pub fn pop(&mut self, now: Instant) -> Option<Ticket> {
+        self.pop_preferring(now, |_| false)
+    }
+
+    /// Like [`Queue::pop`], but serves a workspace that `is_preferred` ahead of its turn, for example
+    /// because it has an open connection.
+    ///
+    /// A workspace is served early by at most four average service times of its own, so that the
+    /// others are not passed over for long.
+    pub fn pop_preferring<F>(&mut self, now: Instant, is_preferred: F) -> Option<Ticket>
+    where
+        F: Fn(&Arc<str>) -> bool,
+    {
         let has_runnable = |name: &Arc<str>| {
             let flow = &self.flows[name];
             flow.waiting.iter().any(|waiting| waiting.deadline > now)
         };
-        let (start_tag, name) = self
-            .schedule
-            .iter()
-            .find(|(_, name)| has_runnable(name))?
-            .clone();
+        let mut runnable = self.schedule.iter().filter(|(_, name)| has_runnable(name));
+        let first = runnable.next()?;
+        let max_lead = virtual_cost(self.average_service_time, 1).saturating_mul(MAX_LEAD);
+        let latest_tag = first.0.saturating_add(max_lead);
+        let mut early = runnable.take_while(|(start_tag, _)| *start_tag <= latest_tag);
+        let preferred = if is_preferred(&first.1) {
+            None
+        } else {
+            early.find(|(_, name)| is_preferred(name))
+        };
+        let (start_tag, name) = preferred.unwrap_or(first).clone();
+        // Serving a flow early must not move the virtual time past the start tags of the others.
+        let first_tag = first.0;
         let flow = self.flows.get_mut(&name)?;
         let index = flow
             .waiting
@@ -194,7 +217,7 @@
         self.schedule.remove(&(start_tag, Arc::clone(&name)));
         flow.start_tag =
             start_tag.saturating_add(virtual_cost(self.average_service_time, flow.weight));
-        self.virtual_time = self.virtual_time.max(start_tag);
+        self.virtual_time = self.virtual_time.max(first_tag);
         self.waiting -= 1;
         self.reschedule(&name);
         Some(waiting.ticket)
@@ -270,37 +293,42 @@
     /// Estimates the wait of a new statement: the statements ahead of it times the average service
     /// time, divided by the slots.
     fn expected_wait(&self, slots: u32, request: &Request) -> Duration {
-        let own_flow = self.flows.get(&request.workspace);
+        let statements_ahead = self.statements_ahead(&request.workspace, request.weight);
+        let rounds = u32::try_from(statements_ahead / u64::from(slots.max(1))).unwrap_or(u32::MAX);
+        self.average_service_time.saturating_mul(rounds)
+    }
+
+    /// Returns how many waiting statements would be served before a new one of the workspace.
+    pub fn statements_ahead(&self, workspace: &Arc<str>, weight: u32) -> u64 {
+        let own_flow = self.flows.get(workspace);
         let own_waiting = own_flow.map_or(0, |flow| flow.waiting.len() as u64);
-        let weight = u64::from(request.weight.max(1));
+        let weight = u64::from(weight.max(1));
         let total_weight = match own_flow {
             Some(flow) if !flow.waiting.is_empty() => self.active_weight,
             _ => self.active_weight + weight,
         };
-        let statements_ahead = (own_waiting * total_weight / weight).min(self.waiting as u64);
-        let rounds = u32::try_from(statements_ahead / u64::from(slots.max(1))).unwrap_or(u32::MAX);
-        self.average_service_time.saturating_mul(rounds)
+        (own_waiting * total_weight / weight).min(self.waiting as u64)
     }
 
-    /// Removes and returns the newest statement of the flow that is longest relative to its weight.
+    /// Removes and returns the newest statement of the flow that is longest relative to its weight, to
+    /// make room for a new statement of a workspace.
     ///
     /// Returns `None` if that is the flow of the new statement or is no longer than it.
-    fn evict(&mut self, request: &Request) -> Option<Ticket> {
-        let own_flow = self.flows.get(&request.workspace);
+    pub fn evict_for(&mut self, workspace: &Arc<str>, weight: u32) -> Option<Ticket> {
+        let own_flow = self.flows.get(workspace);
         let own_waiting = own_flow.map_or(0, |flow| flow.waiting.len()) + 1;
-        let own_weighted_length = own_waiting as f64 / f64::from(request.weight.max(1));
-        let compare_lengths = |left: &(&Arc<str>, &Flow), right: &(&Arc<str>, &Flow)| {
-            let by_length = left
-                .1
-                .weighted_length()
-                .total_cmp(&right.1.weighted_length());
-            by_length.then_with(|| left.0.cmp(right.0))
-        };
-        let (name, flow) = self.flows.iter().max_by(compare_lengths)?;
-        if flow.weighted_length() <= own_weighted_length || *name == request.workspace {
+        let own_weighted_length = own_waiting as f64 / f64::from(weight.max(1));
+        let (name, flow) = self.longest_flow()?;
+        if flow.weighted_length() <= own_weighted_length || name == workspace {
             return None;
         }
-        let name = Arc::clone(name);
+        self.evict_longest()
+    }
+
+    /// Removes and returns the newest statement of the flow that is longest relative to its weight;
+    /// it must be refused. Returns `None` if the queue is empty.
+    pub fn evict_longest(&mut self) -> Option<Ticket> {
+        let name = Arc::clone(self.longest_flow()?.0);
         let newest = self.flows.get_mut(&name)?.waiting.pop_back()?;
         self.waiting -= 1;
         self.unschedule(&name);
@@ -308,6 +336,17 @@
         Some(newest.ticket)
     }
 
+    fn longest_flow(&self) -> Option<(&Arc<str>, &Flow)> {
+        let compare_lengths = |left: &(&Arc<str>, &Flow), right: &(&Arc<str>, &Flow)| {
+            let by_length = left
+                .1
+                .weighted_length()
+                .total_cmp(&right.1.weighted_length());
+            by_length.then_with(|| left.0.cmp(right.0))
+        };
+        self.flows.iter().max_by(compare_lengths)
+    }
+
     fn append(&mut self, request: Request) {
         let name = request.workspace;
         let flow = self.flows.entry(Arc::clone(&name)).or_insert_with(|| Flow {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -3,22 +3,27 @@
 //! An endpoint accepts few connections from all instances together, and each connection belongs to
 //! the workspace for which it was opened. Every instance keeps to its share of the connections. A
 //! statement takes an idle connection of its workspace, opens a new one, or closes the least
-//! recently used idle connection of another workspace to open its own. When all connections are in
-//! use it waits, ordered by priority and then by arrival.
+//! recently used idle connection of another workspace to open its own. While all connections are in
+//! use, or the endpoint has as many statements in flight as it takes well, it waits for its turn:
+//! `coordination::admission` decides, and [`waiting`] carries out.
 
 mod held;
+mod waiting;
 
 pub use self::held::{PooledConnection, SessionState};
+use self::waiting::Resource;
+pub use self::waiting::{Demand, InFlightGuard};
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::admission::Admission;
+use filbertbay_coordination::placement::FailureShare;
 use filbertbay_coordination::succession::FailureDetector;
 use filbertbay_state::position::Position;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::caller::Code;
@@ -51,19 +56,6 @@
     prepare_count: u64,
 }
 
-/// Resource that is handed to a waiting statement: a connection of its workspace, or a slot to open
-/// one.
-enum Grant {
-    Connection(Connection),
-    Slot,
-}
-
-struct Waiter {
-    workspace: Arc<str>,
-    grant: oneshot::Sender<Grant>,
-}
-
-#[derive(Default)]
 struct PoolState {
     idle: Vec<Connection>,
     open: usize,
@@ -71,15 +63,48 @@
     /// Whether no connection is kept idle, because the endpoint accepts fewer connections than
     /// there are instances.
     keep_no_idle: bool,
-    waiting: BTreeMap<(u8, u64), Waiter>,
+    admission: Admission,
+    waiters: waiting::Waiters,
     failure_detector: FailureDetector,
+    failures: FailureShare,
     latency: Option<(Duration, Instant)>,
-    in_flight: usize,
     missing_position: Option<(Position, Instant)>,
     full_until: Option<Instant>,
 }
 
 impl PoolState {
+    fn new(now: Instant, slots: usize) -> Self {
+        Self {
+            idle: Vec::new(),
+            open: 0,
+            limit: 0,
+            keep_no_idle: false,
+            admission: Admission::new(now, saturating_slots(slots)),
+            waiters: waiting::Waiters::default(),
+            failure_detector: FailureDetector::default(),
+            failures: FailureShare::default(),
+            latency: None,
+            missing_position: None,
+            full_until: None,
+        }
+    }
+
+    /// Reserves a slot for a new connection, and closes an idle one for it if needed.
+    ///
+    /// Returns false if all slots are taken by connections in use.
+    fn reserve_slot(&mut self) -> bool {
+        if self.open < self.limit {
+            self.open += 1;
+            return true;
+        }
+        if self.idle.is_empty() {
+            return false;
+        }
+        // The new connection takes the slot of the least recently used idle one.
+        drop(self.idle.remove(0));
+        true
+    }
+
     /// Sets this instance's share of the endpoint's connections; zero if there are fewer connections
     /// than instances, and one connection is allowed even then.
     fn set_limit(&mut self, limit: usize) {
@@ -95,6 +120,7 @@
 
 /// Connections to one endpoint, with its failure detector and its measured latency.
 pub struct EndpointPool {
+    clock: Clock,
     endpoint: RefCell<Rc<Endpoint>>,
     state: RefCell<PoolState>,
     /// Number of times that all statements in flight were aborted.
@@ -104,8 +130,11 @@
 /// Why a statement got no connection.
 #[derive(Debug)]
 pub enum AcquireError {
-    /// All connections stayed in use until the deadline.
-    Busy,
+    /// The statement's turn can't come, or did not come, before the deadline.
+    Busy {
+        /// Time after which the caller should come back, spread at random.
+        retry_after: Duration,
+    },
     /// The endpoint refused the connection with this code.
     Refused(Code),
     /// The connection could not be opened for the given cause, such as a network failure or a
@@ -114,10 +143,12 @@
 }
 
 impl EndpointPool {
-    fn new(endpoint: Rc<Endpoint>) -> Self {
+    fn new(endpoint: Rc<Endpoint>, clock: Clock) -> Self {
+        let state = PoolState::new(clock.now(), endpoint.slots);
         Self {
+            clock,
             endpoint: RefCell::new(endpoint),
-            state: RefCell::default(),
+            state: RefCell::new(state),
             aborts: watch::Sender::new(0),
         }
     }
@@ -142,6 +173,16 @@
         self.state.borrow_mut().failure_detector.record_failure(now);
     }
 
+    /// Records whether an attempt failed, was shed or was lost, or served its statement.
+    pub fn record_result(&self, now: Instant, has_failed: bool) {
+        self.state.borrow_mut().failures.record(now, has_failed);
+    }
+
+    /// Returns the share of the recent attempts that failed, in thousandths.
+    pub fn failures_per_mille(&self, now: Instant) -> u16 {
+        self.state.borrow().failures.per_mille(now)
+    }
+
     /// Records the latency of an answer.
     pub fn record_latency(&self, now: Instant, latency: Duration) {
         let mut state = self.state.borrow_mut();
@@ -165,7 +206,7 @@
 
     /// Returns the number of statements in flight.
     pub fn in_flight(&self) -> usize {
-        self.state.borrow().in_flight
+        self.state.borrow().admission.limit().in_flight() as usize
     }
 
     /// Returns whether there is an idle connection of the workspace.
@@ -181,7 +222,9 @@
     pub fn is_full(&self, now: Instant) -> bool {
         let state = self.state.borrow();
         let is_backing_off = state.full_until.is_some_and(|full_until| now < full_until);
-        state.idle.is_empty() && (state.open >= state.limit || is_backing_off)
+        let has_no_connection =
+            state.idle.is_empty() && (state.open >= state.limit || is_backing_off);
+        has_no_connection || !state.admission.has_room()
     }
 
     /// Records that the endpoint had not reached `position`.
@@ -201,7 +244,7 @@
     }
 
     /// Aborts all statements in flight and closes the idle connections.
-    pub fn abort_all(&self) {
+    pub fn abort_all(self: &Rc<Self>) {
         let idle = std::mem::take(&mut self.state.borrow_mut().idle);
         for _ in idle {
             self.release_slot();
@@ -210,7 +253,7 @@
     }
 
     /// Sets the limit and closes the least recently used idle connections beyond it.
-    fn apply_limit(&self, limit: usize) {
+    fn apply_limit(self: &Rc<Self>, limit: usize) {
         let surplus: Vec<Connection> = {
             let mut state = self.state.borrow_mut();
             state.set_limit(limit);
@@ -228,73 +271,41 @@
         }
     }
 
-    /// Frees the slot of a closed connection, or hands it to the first waiting statement.
-    fn release_slot(&self) {
-        let mut state = self.state.borrow_mut();
-        while let Some((_, waiter)) = state.waiting.pop_first() {
-            if waiter.grant.send(Grant::Slot).is_ok() {
-                return;
-            }
+    /// Frees the slot of a closed connection, which may serve a waiting statement.
+    fn release_slot(self: &Rc<Self>) {
+        {
+            let mut state = self.state.borrow_mut();
+            state.open = state.open.saturating_sub(1);
         }
-        state.open = state.open.saturating_sub(1);
+        self.serve_waiting();
     }
 
     /// Hands a connection to a waiting statement, keeps it idle or closes it.
-    fn return_connection(&self, mut connection: Connection) {
-        if connection.inner.is_stale() {
+    fn return_connection(self: &Rc<Self>, connection: Connection) {
+        let is_surplus = {
+            let state = self.state.borrow();
+            state.open > state.limit || state.keep_no_idle && state.admission.waiting() == 0
+        };
+        if is_surplus || connection.inner.is_stale() {
+            drop(connection);
             return self.release_slot();
         }
-        loop {
+        self.state.borrow_mut().idle.push(connection);
+        self.serve_waiting();
+        let surplus = {
             let mut state = self.state.borrow_mut();
-            let is_spare = state.keep_no_idle && state.waiting.is_empty();
-            if is_spare || state.open > state.limit {
-                drop(state);
-                return self.release_slot();
-            }
-            let Some(key) = next_waiter(&state.waiting, &connection.workspace) else {
-                state.idle.push(connection);
-                if state.idle.len() > state.max_idle() {
-                    // The least recently used connection is closed.
-                    drop(state.idle.remove(0));
-                    drop(state);
-                    self.release_slot();
-                }
-                return;
-            };
-            let Some(waiter) = state.waiting.remove(&key) else {
-                continue;
-            };
-            let grant = if waiter.workspace == connection.workspace {
-                Grant::Connection(connection)
-            } else {
-                // A connection of another workspace is closed, which frees a slot for the waiter.
-                match waiter.grant.send(Grant::Slot) {
-                    Ok(()) => return,
-                    Err(_) => continue,
-                }
-            };
-            match waiter.grant.send(grant) {
-                Ok(()) | Err(Grant::Slot) => return,
-                Err(Grant::Connection(returned)) => connection = returned,
-            }
+            // The least recently used connection is closed.
+            (state.idle.len() > state.max_idle()).then(|| state.idle.remove(0))
+        };
+        if surplus.is_some() {
+            drop(surplus);
+            self.release_slot();
         }
     }
 }
 
-/// Returns the key of the waiter that gets a free connection: the first of the highest priority
-/// that has the connection's workspace, which saves opening a connection, or else the first waiter.
-fn next_waiter(waiting: &BTreeMap<(u8, u64), Waiter>, workspace: &Arc<str>) -> Option<(u8, u64)> {
-    let (first, _) = waiting.first_key_value()?;
-    let same_workspace = waiting
-        .range((first.0, 0)..=(first.0, u64::MAX))
-        .find(|(_, waiter)| waiter.workspace == *workspace);
-    Some(same_workspace.map_or(*first, |(key, _)| *key))
-}
-
-/// Counts a statement in flight until it is dropped.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    endpoint_pool: Rc<EndpointPool>,
+fn saturating_slots(slots: usize) -> u32 {
+    u32::try_from(slots).unwrap_or(u32::MAX)
 }
 
 impl std::fmt::Debug for EndpointPool {
@@ -306,28 +317,11 @@
     }
 }
 
-impl InFlightGuard {
-    /// Increments the count of statements in flight.
-    pub fn new(endpoint_pool: &Rc<EndpointPool>) -> Self {
-        endpoint_pool.state.borrow_mut().in_flight += 1;
-        Self {
-            endpoint_pool: Rc::clone(endpoint_pool),
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.endpoint_pool.state.borrow_mut().in_flight -= 1;
-    }
-}
-
 /// Connections to all endpoints, grouped by endpoint.
 pub struct Pool {
     connector: Rc<dyn Connector>,
     clock: Clock,
     endpoint_pools: RefCell<BTreeMap<Arc<str>, Rc<EndpointPool>>>,
-    next_waiter_id: Cell<u64>,
 }
 
 impl std::fmt::Debug for Pool {
@@ -343,7 +337,6 @@
             connector,
             clock,
             endpoint_pools: RefCell::default(),
-            next_waiter_id: Cell::new(0),
         }
     }
 
@@ -352,8 +345,11 @@
         let mut endpoint_pools = self.endpoint_pools.borrow_mut();
         let known = endpoint_pools.entry(Arc::clone(&endpoint.id));
         let endpoint_pool =
-            known.or_insert_with(|| Rc::new(EndpointPool::new(Rc::clone(endpoint))));
+            known.or_insert_with(|| Rc::new(EndpointPool::new(Rc::clone(endpoint), self.clock)));
         if !Rc::ptr_eq(&endpoint_pool.endpoint.borrow(), endpoint) {
+            let mut state = endpoint_pool.state.borrow_mut();
+            let slots = saturating_slots(endpoint.slots);
+            state.admission.set_slots(self.clock.now(), slots);
             *endpoint_pool.endpoint.borrow_mut() = Rc::clone(endpoint);
         }
         Rc::clone(endpoint_pool)
@@ -395,51 +391,27 @@
         }
     }
 
-    /// Returns a connection of a workspace to an endpoint.
+    /// Returns a connection of a workspace to an endpoint, when the statement may run on it.
     ///
-    /// `limit` is this instance's share of the endpoint's connections. It is zero if there are fewer
-    /// connections than instances, and one connection is allowed even then. The wait for a
-    /// connection in use ends at `deadline`; opening a new connection has a timeout of its own.
+    /// The connection carries the permission to run one statement, see
+    /// [`PooledConnection::take_permit`].
     ///
     /// # Errors
     ///
-    /// Returns an error if all connections stayed in use or none could be opened.
+    /// Returns an error if the statement was refused, its turn did not come before its deadline, or no
+    /// connection could be opened.
     pub async fn acquire(
         &self,
         endpoint_pool: &Rc<EndpointPool>,
-        workspace: &Arc<str>,
-        limit: usize,
-        priority: u8,
-        deadline: Instant,
+        demand: &Demand<'_>,
     ) -> Result<PooledConnection, AcquireError> {
-        if let Some(connection) = take_idle(endpoint_pool, workspace) {
-            return Ok(check_out(endpoint_pool, connection));
-        }
-        if !reserve_slot(endpoint_pool, limit) {
-            let (sender, receiver) = oneshot::channel();
-            let waiter_key = (priority, self.next_waiter_id.get());
-            self.next_waiter_id.set(waiter_key.1 + 1);
-            let waiter = Waiter {
-                workspace: Arc::clone(workspace),
-                grant: sender,
-            };
-            endpoint_pool
-                .state
-                .borrow_mut()
-                .waiting
-                .insert(waiter_key, waiter);
-            let wait = deadline.saturating_duration_since(self.clock.now());
-            let granted = tokio::time::timeout(wait, receiver).await;
-            endpoint_pool.state.borrow_mut().waiting.remove(&waiter_key);
-            match granted {
-                Ok(Ok(Grant::Connection(connection))) => {
-                    return Ok(check_out(endpoint_pool, connection));
-                }
-                Ok(Ok(Grant::Slot)) => {}
-                Ok(Err(_)) | Err(_) => return Err(AcquireError::Busy),
-            }
-        }
-        self.connect(endpoint_pool, workspace).await
+        let turn = endpoint_pool.turn(demand).await?;
+        let mut connection = match turn.resource {
+            Resource::Connection(connection) => connection,
+            Resource::Slot(slot) => self.connect(slot, demand.workspace).await?,
+        };
+        connection.permit = Some(turn.permit);
+        Ok(connection)
     }
 
     /// Returns a connection of any workspace to an endpoint, for the instance's own requests.
@@ -461,19 +433,17 @@
         }
         // A status query must not wait behind statements, so the limit does not apply.
         endpoint_pool.state.borrow_mut().open += 1;
-        self.connect(endpoint_pool, workspace).await
+        let slot = SlotGuard::new(endpoint_pool);
+        self.connect(slot, workspace).await
     }
 
+    /// Opens a connection in a reserved slot, which is freed if that fails.
     async fn connect(
         &self,
-        endpoint_pool: &Rc<EndpointPool>,
+        slot: SlotGuard,
         workspace: &Arc<str>,
     ) -> Result<PooledConnection, AcquireError> {
-        let mut pooled = PooledConnection {
-            connection: None,
-            endpoint_pool: Rc::clone(endpoint_pool),
-        };
-        let mut guard = SlotGuard(Some(Rc::clone(endpoint_pool)));
+        let endpoint_pool = &Rc::clone(&slot.endpoint_pool);
         let endpoint = endpoint_pool.endpoint();
         let mut aborts = endpoint_pool.subscribe_aborts();
         metrics::counter!("filbertbay_endpoint_connects_total").increment(1);
@@ -488,15 +458,15 @@
         let error = match connected {
             Ok(Ok(inner)) => {
                 endpoint_pool.record_answer(now);
-                guard.0 = None;
-                pooled.connection = Some(Connection {
+                let connection = Connection {
                     inner,
                     workspace: Arc::clone(workspace),
                     values: BTreeMap::new(),
                     prepared: HashMap::new(),
                     prepare_count: 0,
-                });
-                return Ok(pooled);
+                };
+                slot.keep();
+                return Ok(check_out(endpoint_pool, connection));
             }
             Ok(Err(error)) => error,
             Err(_) => {
@@ -535,13 +505,31 @@
     }
 }
 
-/// Frees the slot of a connection that was not opened.
-struct SlotGuard(Option<Rc<EndpointPool>>);
+/// Slot that is reserved for a connection; freed on drop unless the connection was opened.
+struct SlotGuard {
+    endpoint_pool: Rc<EndpointPool>,
+    is_kept: bool,
+}
+
+impl SlotGuard {
+    /// Guards a slot that the caller has counted as open.
+    fn new(endpoint_pool: &Rc<EndpointPool>) -> Self {
+        Self {
+            endpoint_pool: Rc::clone(endpoint_pool),
+            is_kept: false,
+        }
+    }
+
+    /// Leaves the slot to the opened connection.
+    fn keep(mut self) {
+        self.is_kept = true;
+    }
+}
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        if let Some(endpoint_pool) = &self.0 {
-            endpoint_pool.release_slot();
+        if !self.is_kept {
+            self.endpoint_pool.release_slot();
         }
     }
 }
@@ -550,6 +538,7 @@
     PooledConnection {
         connection: Some(connection),
         endpoint_pool: Rc::clone(endpoint_pool),
+        permit: None,
     }
 }
 
@@ -568,21 +557,3 @@
         endpoint_pool.release_slot();
     }
 }
-
-/// Reserves a slot for a new connection, and closes an idle one for it if needed.
-///
-/// Returns false if all slots are taken by connections in use.
-fn reserve_slot(endpoint_pool: &Rc<EndpointPool>, limit: usize) -> bool {
-    let mut state = endpoint_pool.state.borrow_mut();
-    state.set_limit(limit);
-    if state.open < state.limit {
-        state.open += 1;
-        return true;
-    }
-    if state.idle.is_empty() {
-        return false;
-    }
-    // The new connection takes the slot of the least recently used idle one.
-    drop(state.idle.remove(0));
-    true
-}
--- a/crates/entry/src/pool/held.rs
+++ b/crates/entry/src/pool/held.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use super::{Connection, EndpointPool};
+use super::{Connection, EndpointPool, InFlightGuard};
 use crate::endpoint::{Access, EndpointConnection, Reply, Request, RequestKind};
 
 /// Prepared statements that one connection keeps; beyond this all its session state is reset.
@@ -17,6 +17,7 @@
 pub struct PooledConnection {
     pub(super) connection: Option<Connection>,
     pub(super) endpoint_pool: Rc<EndpointPool>,
+    pub(super) permit: Option<InFlightGuard>,
 }
 
 impl std::fmt::Debug for PooledConnection {
@@ -48,6 +49,13 @@
         &self.endpoint_pool
     }
 
+    /// Returns the permission to run one statement, which counts it as in flight until it is dropped.
+    ///
+    /// A connection that was not acquired for a statement of a caller has none left.
+    pub fn take_permit(&mut self) -> Option<InFlightGuard> {
+        self.permit.take()
+    }
+
     /// Returns the connection to the pool.
     pub fn release(mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::placement::{EndpointEstimate, rank};
+use filbertbay_coordination::admission::spread;
+use filbertbay_coordination::placement::{EndpointEstimate, rank_randomized};
 use filbertbay_state::position::Position;
 use slog::{debug, info};
 
@@ -19,7 +20,9 @@
 use crate::catalog::Consistency;
 use crate::endpoint::{Access, Endpoint, Reply, Request, RequestKind};
 use crate::instance::Instance;
-use crate::pool::{AcquireError, EndpointPool, InFlightGuard, PooledConnection, SessionState};
+use crate::pool::{
+    AcquireError, Demand, EndpointPool, InFlightGuard, PooledConnection, SessionState,
+};
 
 /// Pause between two rounds of attempts over all endpoints.
 const ROUND_INTERVAL: Duration = Duration::from_millis(12);
@@ -34,6 +37,12 @@
 /// A read is sent to another endpoint after the expected latency times this.
 const ATTEMPT_LATENCY_FACTOR: u32 = 5;
 
+/// Time after which a caller comes back that no endpoint served, if no endpoint told one.
+const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Time around which callers come back, spread, while a primary is being changed.
+const PRIMARY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Time for which a replica that lacked a position gets no reads that need it.
 const LAG_BACKOFF: Duration = Duration::from_millis(120);
 
@@ -115,6 +124,11 @@
 enum AttemptError {
     /// The statement certainly did not run.
     NotRun(Code),
+    /// The statement did not run, because its turn at the endpoint could not come in time.
+    Overloaded {
+        /// Time after which the caller should come back.
+        retry_after: Duration,
+    },
     /// The statement ran and failed, or the refusal's code states its outcome.
     Failed(Refusal),
     /// The statement may or may not have run.
@@ -139,6 +153,10 @@
         let deadline = pending.arrived + self.route.timeout;
         let mut attempted: Vec<Arc<str>> = Vec::new();
         let mut last_code = Code::Busy;
+        // Shortest time to come back that an endpoint without a turn for the statement told, and the
+        // number of endpoints of this round that had none.
+        let mut retry_after: Option<Duration> = None;
+        let mut overloaded = 0;
         let mut was_sent = false;
         let mut may_have_run = false;
         loop {
@@ -153,15 +171,19 @@
                 let no_primary =
                     last_code == Code::ReadOnly || self.no_primary(pending.access, begin);
                 let limit = self.wait_limit(pending, no_primary, was_sent, queue_end);
-                if now + ROUND_INTERVAL >= limit {
+                let has_no_turn = overloaded > 0 && overloaded == attempted.len();
+                if now + ROUND_INTERVAL >= limit || has_no_turn && !no_primary {
                     return Err(if may_have_run {
                         // An attempt without an answer may have run.
                         Refusal::new(Code::Timeout, "no endpoint answered in time")
                     } else {
-                        no_endpoint_refusal(last_code, no_primary, attempted.len())
+                        let retry_after = retry_after
+                            .unwrap_or_else(|| spread(CAPACITY_RETRY_AFTER, &mut rand::rng()));
+                        no_endpoint_refusal(last_code, no_primary, attempted.len(), retry_after)
                     });
                 }
                 attempted.clear();
+                overloaded = 0;
                 self.wait_round(no_primary, limit).await;
                 continue;
             };
@@ -176,6 +198,12 @@
                     last_code = code;
                     attempted.push(id);
                 }
+                Err(AttemptError::Overloaded { retry_after: told }) => {
+                    last_code = Code::TooManyConnections;
+                    retry_after = Some(retry_after.map_or(told, |known| known.min(told)));
+                    overloaded += 1;
+                    attempted.push(id);
+                }
                 Err(AttemptError::Failed(refusal)) => return Err(refusal),
                 Err(AttemptError::OutcomeUnknown(problem)) => {
                     info!(self.log, "try lost"; "id" => pending.statement.id.as_ref(),
@@ -276,7 +304,7 @@
             .map(|target| self.estimate(target, now))
             .collect();
         let mut remaining: Vec<Option<Target>> = targets.into_iter().map(Some).collect();
-        let ranked = rank(&estimates).into_iter();
+        let ranked = rank_randomized(&estimates, &mut rand::rng()).into_iter();
         ranked.filter_map(|index| remaining[index].take()).collect()
     }
 
@@ -359,12 +387,15 @@
         EndpointEstimate {
             round_trip: self.instance.round_trip(endpoint),
             latency: self.instance.expected_latency(endpoint_pool, now),
+            wait: endpoint_pool.expected_wait(now, self.route.priority),
+            failures_per_mille: endpoint_pool.failures_per_mille(now),
             in_flight: endpoint_pool.in_flight(),
             slots: endpoint.slots,
             has_idle_connection: endpoint_pool.has_idle_connection(&self.workspace.name),
             is_full: endpoint_pool.is_full(now),
             is_failing: endpoint_pool.failure_detector().is_failing(),
             is_draining_or_cold: endpoint.is_draining || endpoint.is_cold,
+            is_primary: target.primary_ref.is_some(),
         }
     }
 
@@ -378,16 +409,19 @@
         deadline: Instant,
     ) -> Result<EndpointReply, AttemptError> {
         let instance = &self.instance;
-        let limit = instance.connection_limit(&self.route.service);
-        let name = &self.workspace.name;
-        let priority = self.route.priority;
-        let acquired =
-            instance
-                .pool
-                .acquire(&target.endpoint_pool, name, limit, priority, queue_end);
-        let mut connection = match acquired.await {
+        let endpoint_pool = &target.endpoint_pool;
+        let demand = Demand {
+            workspace: &self.workspace.name,
+            limit: instance.connection_limit(&self.route.service),
+            priority: self.route.priority,
+            deadline: queue_end,
+            service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
+        };
+        let mut connection = match instance.pool.acquire(endpoint_pool, &demand).await {
             Ok(connection) => connection,
-            Err(AcquireError::Busy) => return Err(AttemptError::NotRun(Code::TooManyConnections)),
+            Err(AcquireError::Busy { retry_after }) => {
+                return Err(AttemptError::Overloaded { retry_after });
+            }
             Err(AcquireError::Refused(code)) => return Err(AttemptError::NotRun(code)),
             Err(AcquireError::Unreachable(problem)) => {
                 debug!(self.log, "endpoint not reached"; "endpoint" => target.endpoint.id.as_ref(),
@@ -445,7 +479,7 @@
     ) -> Result<Reply, AttemptError> {
         let instance = &self.instance;
         let endpoint_pool = &target.endpoint_pool;
-        let _in_flight = InFlightGuard::new(endpoint_pool);
+        let mut permit = connection.take_permit();
         let mut aborts = endpoint_pool.subscribe_aborts();
         let sent_at = instance.now();
         let limit = deadline.saturating_duration_since(sent_at);
@@ -459,16 +493,19 @@
             Ok(Ok(reply)) => reply,
             Ok(Err(ConnectionLost::BeforeSend)) => {
                 endpoint_pool.record_failure(now);
+                endpoint_pool.record_result(now, true);
                 return Err(AttemptError::NotRun(Code::Busy));
             }
             Ok(Err(ConnectionLost::AfterSend)) => {
                 endpoint_pool.record_failure(now);
+                endpoint_pool.record_result(now, true);
                 return Err(AttemptError::OutcomeUnknown(
                     "the connection to the endpoint broke",
                 ));
             }
             Err(_) => {
                 endpoint_pool.record_failure(now);
+                endpoint_pool.record_result(now, true);
                 return Err(AttemptError::OutcomeUnknown(
                     "the endpoint did not answer in time",
                 ));
@@ -478,8 +515,20 @@
         if let (Some(primary_ref), Some(position)) = (&target.primary_ref, reply.position) {
             primary_ref.record_position(instance, sent_at, position);
         }
-        if reply.result.is_ok() {
-            endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
+        match &reply.result {
+            Ok(_) => {
+                let latency = now.saturating_duration_since(sent_at);
+                endpoint_pool.record_latency(now, latency);
+                endpoint_pool.record_result(now, false);
+                permit
+                    .iter_mut()
+                    .for_each(|permit| permit.record_latency(latency));
+            }
+            Err(refusal) if refusal.code == Code::Busy => {
+                endpoint_pool.record_result(now, true);
+                permit.iter_mut().for_each(InFlightGuard::record_refusal);
+            }
+            Err(refusal) => endpoint_pool.record_result(now, refusal.code == Code::Failed),
         }
         Ok(reply)
     }
@@ -532,13 +581,22 @@
 }
 
 /// Returns the refusal of a statement that no endpoint ran, and counts it.
-fn no_endpoint_refusal(last_code: Code, no_primary: bool, endpoint_count: usize) -> Refusal {
+fn no_endpoint_refusal(
+    last_code: Code,
+    no_primary: bool,
+    endpoint_count: usize,
+    retry_after: Duration,
+) -> Refusal {
     let cause = if no_primary { "moving" } else { "capacity" };
     metrics::counter!("filbertbay_refused_total", "cause" => cause).increment(1);
     let text = if no_primary {
-        "the primary is being changed, retry after 300 ms".to_owned()
+        let millis = spread(PRIMARY_RETRY_AFTER, &mut rand::rng()).as_millis();
+        format!("the primary is being changed, retry after {millis} ms")
     } else {
-        format!("no endpoint took it, {endpoint_count} tried, last {last_code}, retry after 100 ms")
+        let millis = retry_after.as_millis();
+        format!(
+            "no endpoint took it, {endpoint_count} tried, last {last_code}, retry after {millis} ms"
+        )
     };
     Refusal::new(Code::Busy, text)
 }
