--- a/crates/entry/src/pool/waiting.rs
+++ b/crates/entry/src/pool/waiting.rs
@@ -74,6 +74,7 @@
             .admission
             .cancel(demand.priority, demand.workspace, self.ticket);
         state.waiters.by_ticket.remove(&self.ticket);
+        metrics::gauge!("filbertbay_admission_waiting").decrement(1.0);
     }
 }
 
@@ -120,8 +121,15 @@
     fn drop(&mut self) {
         let now = self.endpoint_pool.clock.now();
         let mut state = self.endpoint_pool.state.borrow_mut();
+        let before = state.admission.limit().current();
         state.admission.finish(now, self.outcome);
+        let limit = state.admission.limit().current();
         drop(state);
+        if limit != before {
+            let id = self.endpoint_pool.endpoint().id.to_string();
+            metrics::gauge!("filbertbay_endpoint_learnt_limit", "endpoint" => id)
+                .set(f64::from(limit));
+        }
         self.endpoint_pool.serve_waiting();
     }
 }
@@ -194,6 +202,7 @@
         };
         state.waiters.by_ticket.insert(ticket, waiter);
         metrics::counter!("filbertbay_admission_waits_total").increment(1);
+        metrics::gauge!("filbertbay_admission_waiting").increment(1.0);
         Ok((ticket, granted))
     }
 
@@ -234,16 +243,6 @@
     pub fn expected_wait(&self, now: Instant, priority: u8) -> Duration {
         self.state.borrow().admission.expected_wait(now, priority)
     }
-
-    /// Returns the learnt concurrency limit.
-    pub fn learnt_limit(&self) -> usize {
-        self.state.borrow().admission.limit().current() as usize
-    }
-
-    /// Returns the number of waiting statements.
-    pub fn waiting(&self) -> usize {
-        self.state.borrow().admission.waiting()
-    }
 }
 
 impl super::PoolState {
