--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod authority;
 pub mod contact;
 pub mod drain;
+pub mod egress;
 pub mod freshness;
 pub mod limit;
 pub mod membership;
