--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -64,6 +64,12 @@
 /// Inverse of the weight of a new sample in the average time between turns.
 const TURN_AVERAGE_DIVISOR: u32 = 8;
 
+/// One turn counts at most as this many times the average, or [`MIN_LONG_TURN`] if that is longer.
+const MAX_TURN_FACTOR: u32 = 4;
+
+/// Average below which the bound on one turn no longer shrinks.
+const MIN_LONG_TURN: Duration = Duration::from_millis(5);
+
 /// Service time assumed while neither turns nor a hint tell one.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(15);
 
@@ -316,8 +322,10 @@
 
     fn record_turn(&mut self, now: Instant) {
         if let Some(last_turn) = self.last_turn {
-            let elapsed = now.saturating_duration_since(last_turn);
-            let average = self.turn_interval.unwrap_or(elapsed);
+            let average = self.turn_interval.unwrap_or(DEFAULT_SERVICE_TIME);
+            // One long outage must not refuse what comes after it.
+            let longest = average.max(MIN_LONG_TURN) * MAX_TURN_FACTOR;
+            let elapsed = now.saturating_duration_since(last_turn).min(longest);
             self.turn_interval =
                 Some((average * (TURN_AVERAGE_DIVISOR - 1) + elapsed) / TURN_AVERAGE_DIVISOR);
         }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -422,7 +422,7 @@
             Resource::Connection(connection) => connection,
             Resource::Slot(slot) => self.connect(slot, demand.workspace).await?,
         };
-        connection.permit = Some(turn.permit);
+        connection.permit = Some(Box::new(turn.permit));
         Ok(connection)
     }
 
--- a/crates/entry/src/pool/held.rs
+++ b/crates/entry/src/pool/held.rs
@@ -17,7 +17,7 @@
 pub struct PooledConnection {
     pub(super) connection: Option<Connection>,
     pub(super) endpoint_pool: Rc<EndpointPool>,
-    pub(super) permit: Option<InFlightGuard>,
+    pub(super) permit: Option<Box<InFlightGuard>>,
 }
 
 impl std::fmt::Debug for PooledConnection {
@@ -52,7 +52,7 @@
     /// Returns the permission to run one statement, which counts it as in flight until it is dropped.
     ///
     /// A connection that was not acquired for a statement of a caller has none left.
-    pub fn take_permit(&mut self) -> Option<InFlightGuard> {
+    pub fn take_permit(&mut self) -> Option<Box<InFlightGuard>> {
         self.permit.take()
     }
 
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -89,6 +89,74 @@
     primary_ref: Option<PrimaryRef>,
 }
 
+/// What the attempts at a statement have shown so far.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Endpoints that were attempted in this round.
+    attempted: Vec<Arc<str>>,
+    /// Endpoints of this round that had no turn for the statement in time.
+    overloaded: usize,
+    /// Shortest time to come back that an endpoint without a turn told.
+    retry_after: Option<Duration>,
+    /// Why the last attempt did not run; none before the first.
+    last_code: Option<Code>,
+    was_sent: bool,
+    may_have_run: bool,
+}
+
+impl Progress {
+    fn begin_round(&mut self) {
+        self.attempted.clear();
+        self.overloaded = 0;
+    }
+
+    /// Returns whether every endpoint refused the statement because its turn can't come in time.
+    fn has_no_turn(&self) -> bool {
+        self.overloaded > 0 && self.overloaded == self.attempted.len() && !self.may_have_run
+    }
+
+    fn record(&mut self, endpoint: Arc<str>, error: &AttemptError) {
+        match error {
+            AttemptError::Unreachable => {
+                self.last_code = Some(Code::Busy);
+                self.was_sent = true;
+            }
+            AttemptError::NotRun(code) => {
+                self.last_code = Some(*code);
+                self.was_sent |= *code == Code::Busy;
+            }
+            AttemptError::Overloaded { retry_after } => {
+                self.last_code = Some(Code::TooManyConnections);
+                self.overloaded += 1;
+                let shortest = self.retry_after.unwrap_or(*retry_after);
+                self.retry_after = Some(shortest.min(*retry_after));
+            }
+            AttemptError::OutcomeUnknown(problem) => {
+                self.was_sent = true;
+                self.may_have_run = true;
+                // The endpoint of a silent egress instance is tried again on another path.
+                if *problem == Problem::EgressLost {
+                    return;
+                }
+            }
+            AttemptError::Failed(_) => {}
+        }
+        self.attempted.push(endpoint);
+    }
+
+    /// Returns the refusal of a statement that no endpoint answered.
+    fn refusal(&self, no_primary: bool) -> Refusal {
+        if self.may_have_run {
+            return Refusal::new(Code::Timeout, "no endpoint answered in time");
+        }
+        let retry_after = self
+            .retry_after
+            .unwrap_or_else(|| spread(CAPACITY_RETRY_AFTER, &mut rand::rng()));
+        let last_code = self.last_code.unwrap_or(Code::Busy);
+        no_endpoint_refusal(last_code, no_primary, self.attempted.len(), retry_after)
+    }
+}
+
 impl Session {
     /// Runs a statement outside a pinned transaction, at as many endpoints as needed until one
     /// succeeds.
@@ -105,90 +173,84 @@
     ) -> Result<EndpointReply, Refusal> {
         let queue_end = pending.arrived + self.route.latency_objective / QUEUE_WAIT_DIVISOR;
         let deadline = pending.arrived + self.route.timeout;
-        let mut attempted: Vec<Arc<str>> = Vec::new();
-        let mut last_code = Code::Busy;
-        // Shortest time to come back that an endpoint without a turn for the statement told, and the
-        // number of endpoints of this round that had none.
-        let mut retry_after: Option<Duration> = None;
-        let mut overloaded = 0;
-        let mut was_sent = false;
-        let mut may_have_run = false;
+        let mut progress = Progress::default();
         loop {
             let targets = self.targets(pending.access, begin);
             let next_target = targets
                 .into_iter()
-                .find(|target| !attempted.contains(&target.endpoint.id));
+                .find(|target| !progress.attempted.contains(&target.endpoint.id));
             let now = self.instance.now();
             let Some(target) = next_target else {
                 // An endpoint that was just recorded as primary may refuse as read-only until it is
                 // promoted.
-                let no_primary =
-                    last_code == Code::ReadOnly || self.no_primary(pending.access, begin);
-                let limit = self.wait_limit(pending, no_primary, was_sent, queue_end);
-                let has_no_turn = overloaded > 0 && overloaded == attempted.len();
-                if now + ROUND_INTERVAL >= limit || has_no_turn && !no_primary {
-                    return Err(if may_have_run {
-                        // An attempt without an answer may have run.
-                        Refusal::new(Code::Timeout, "no endpoint answered in time")
-                    } else {
-                        let retry_after = retry_after
-                            .unwrap_or_else(|| spread(CAPACITY_RETRY_AFTER, &mut rand::rng()));
-                        no_endpoint_refusal(last_code, no_primary, attempted.len(), retry_after)
-                    });
+                let no_primary = progress.last_code == Some(Code::ReadOnly)
+                    || self.no_primary(pending.access, begin);
+                let limit = self.wait_limit(pending, no_primary, progress.was_sent, queue_end);
+                let is_refused = progress.has_no_turn() && !no_primary;
+                if is_refused || now + ROUND_INTERVAL >= limit {
+                    return Err(progress.refusal(no_primary));
                 }
-                attempted.clear();
-                overloaded = 0;
+                progress.begin_round();
                 self.wait_round(no_primary, limit).await;
                 continue;
             };
             let until = self.attempt_deadline(pending, &target, now, deadline);
             let id = Arc::clone(&target.endpoint.id);
-            match self.attempt(pending, begin, target, queue_end, until).await {
+            let error = match self.attempt(pending, begin, target, queue_end, until).await {
                 Ok(served) => return Ok(served),
-                Err(AttemptError::Unreachable) => {
-                    debug!(self.log, "endpoint not reached"; "id" => pending.statement.id.as_ref(),
-                        "endpoint" => id.as_ref());
-                    self.instance.primary_suspected.notify_one();
-                    last_code = Code::Busy;
-                    was_sent = true;
-                    attempted.push(id);
-                }
-                Err(AttemptError::NotRun(code)) => {
-                    debug!(self.log, "attempt did not run"; "id" => pending.statement.id.as_ref(),
-                        "endpoint" => id.as_ref(), "code" => %code);
-                    was_sent |= code == Code::Busy;
-                    last_code = code;
-                    attempted.push(id);
-                }
-                Err(AttemptError::Overloaded { retry_after: told }) => {
-                    last_code = Code::TooManyConnections;
-                    retry_after = Some(retry_after.map_or(told, |known| known.min(told)));
-                    overloaded += 1;
-                    attempted.push(id);
-                }
-                Err(AttemptError::Failed(refusal)) => return Err(refusal),
-                Err(AttemptError::OutcomeUnknown(problem)) => {
-                    info!(self.log, "try lost"; "id" => pending.statement.id.as_ref(),
-                        "endpoint" => id.as_ref(), "problem" => %problem,
-                        "service" => self.route.service.as_ref(),
-                        "took_ms" => self.instance.now().saturating_duration_since(now).as_millis() as u64);
-                    // A silent egress instance says nothing about the endpoint, which is tried again
-                    // on another path.
-                    if problem != Problem::EgressLost {
-                        self.instance.primary_suspected.notify_one();
-                        attempted.push(id);
-                    }
+                Err(error) => error,
+            };
+            self.log_attempt(pending, &id, &error, now);
+            match error {
+                AttemptError::Failed(refusal) => return Err(refusal),
+                AttemptError::OutcomeUnknown(problem) => {
                     if pending.access == Access::Write && begin.is_none() {
                         let text = format!("the outcome of the write is unknown: {problem}");
                         return Err(Refusal::new(Code::Unknown, text));
                     }
-                    was_sent = true;
-                    may_have_run = true;
                     if self.instance.now() + MIN_ATTEMPT_TIME >= deadline {
                         return Err(Refusal::new(Code::Timeout, "no endpoint answered in time"));
                     }
                 }
+                _ => {}
+            }
+            progress.record(id, &error);
+        }
+    }
+
+    /// Logs an attempt that did not succeed, and wakes the succession task if its endpoint may be down.
+    fn log_attempt(
+        &self,
+        pending: &PendingStatement<'_>,
+        endpoint: &str,
+        error: &AttemptError,
+        started_at: Instant,
+    ) {
+        let id = pending.statement.id.as_ref();
+        match error {
+            AttemptError::Unreachable => {
+                debug!(self.log, "endpoint not reached"; "id" => id, "endpoint" => endpoint);
+                self.instance.primary_suspected.notify_one();
+            }
+            AttemptError::NotRun(code) => {
+                debug!(self.log, "attempt did not run"; "id" => id, "endpoint" => endpoint,
+                    "code" => %code);
+            }
+            AttemptError::Overloaded { retry_after } => {
+                debug!(self.log, "no turn at the endpoint"; "id" => id, "endpoint" => endpoint,
+                    "retry_after_ms" => retry_after.as_millis() as u64);
+            }
+            AttemptError::OutcomeUnknown(problem) => {
+                let took = self.instance.now().saturating_duration_since(started_at);
+                info!(self.log, "try lost"; "id" => id, "endpoint" => endpoint,
+                    "problem" => %problem, "service" => self.route.service.as_ref(),
+                    "took_ms" => took.as_millis() as u64);
+                // A silent egress instance says nothing about the endpoint.
+                if *problem != Problem::EgressLost {
+                    self.instance.primary_suspected.notify_one();
+                }
             }
+            AttemptError::Failed(_) => {}
         }
     }
 
