--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -15,7 +15,9 @@
 use crate::caller::{Code, Refusal, TransactionState};
 use crate::endpoint::{Access, Reply, Request, RequestKind};
 use crate::instance::Instance;
-use crate::pool::{AcquireError, EndpointPool, InFlightGuard, PooledConnection, SessionState};
+use crate::pool::{
+    AcquireError, Demand, EndpointPool, InFlightGuard, PooledConnection, SessionState,
+};
 
 /// Longest wait for the reply to a rollback, after which the connection is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -134,6 +136,11 @@
     Failed(Refusal),
     /// The statement may or may not have run.
     OutcomeUnknown(Problem),
+    /// The statement did not run, because its turn at the endpoint could not come in time.
+    Overloaded {
+        /// Time after which the caller should come back.
+        retry_after: Duration,
+    },
 }
 
 /// Why no reply to a statement came.
@@ -177,13 +184,14 @@
     endpoint_pool: &Rc<EndpointPool>,
     execution: &Execution<'_>,
 ) -> Result<Executed, AttemptError> {
-    let acquired = instance.pool.acquire(
-        endpoint_pool,
-        execution.workspace,
-        execution.limit,
-        execution.priority,
-        execution.queue_end,
-    );
+    let demand = Demand {
+        workspace: execution.workspace,
+        limit: execution.limit,
+        priority: execution.priority,
+        deadline: execution.queue_end,
+        service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
+    };
+    let acquired = instance.pool.acquire(endpoint_pool, &demand);
     let time = execution.deadline.saturating_duration_since(instance.now());
     let acquired = tokio::select! {
         acquired = tokio::time::timeout(time, acquired) => acquired,
@@ -194,7 +202,9 @@
     };
     let mut connection = match acquired {
         Ok(Ok(connection)) => connection,
-        Ok(Err(AcquireError::Busy)) => return Err(AttemptError::NotRun(Code::TooManyConnections)),
+        Ok(Err(AcquireError::Busy { retry_after })) => {
+            return Err(AttemptError::Overloaded { retry_after });
+        }
         Ok(Err(AcquireError::Refused(code))) => return Err(AttemptError::NotRun(code)),
         Ok(Err(AcquireError::Unreachable(problem))) => {
             let endpoint = endpoint_pool.endpoint();
@@ -314,7 +324,7 @@
     execution: &Execution<'_>,
     connection: &mut PooledConnection,
 ) -> Result<Reply, AttemptError> {
-    let _in_flight = InFlightGuard::new(endpoint_pool);
+    let mut permit = connection.take_permit();
     let mut aborts = endpoint_pool.subscribe_aborts();
     let sent_at = instance.now();
     let counted = instance.usage.count(sent_at, execution.workspace);
@@ -347,9 +357,20 @@
         primary.record_position(instance, sent_at, position);
     }
     match &reply.result {
-        Ok(_) => endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at)),
+        Ok(_) => {
+            let latency = now.saturating_duration_since(sent_at);
+            endpoint_pool.record_latency(now, latency);
+            if let Some(permit) = &mut permit {
+                permit.record_latency(latency);
+            }
+        }
         Err(refusal) if refusal.code.is_not_run() => {
             instance.usage.retract(&counted);
+            if refusal.code == Code::Busy
+                && let Some(permit) = &mut permit
+            {
+                permit.record_refusal();
+            }
         }
         Err(_) => {}
     }
