Keep the tasks of sessions small while they forward statements

Cause: the lint for large futures found 17 kB a session: the futures of forwarding were part of the session's task.

Change: an attempt is on the heap; what the attempts of a statement have shown is a Progress, and a new round and the check of a forwarded statement's endpoint are functions of their own.

--- a/crates/entry/src/forward/lease.rs
+++ b/crates/entry/src/forward/lease.rs
@@ -12,6 +12,7 @@
 
 use super::{ForwardError, ForwardReply, Forwarded, ForwardedStatement, plan};
 use crate::caller::{Code, TransactionState};
+use crate::endpoint::Endpoint;
 use crate::execution::{self, AttemptError, Execution, PrimaryRef};
 use crate::instance::{Instance, Phase};
 use crate::pool::PooledConnection;
@@ -136,21 +137,7 @@
     forwarded: Forwarded,
 ) -> Result<ForwardReply, ForwardError> {
     let now = instance.now();
-    if instance.is_draining() {
-        return Err(ForwardError::Declined(Suspicion::Draining));
-    }
-    let declined = ForwardError::Declined(Suspicion::Disagrees);
-    let endpoint = instance
-        .view
-        .borrow()
-        .endpoint(&forwarded.endpoint)
-        .cloned();
-    let endpoint = endpoint.ok_or(declined.clone())?;
-    let plan = plan(instance, &endpoint);
-    let limit = plan.allotment(&instance.settings().name);
-    if plan.is_direct() || limit == 0 {
-        return Err(declined);
-    }
+    let (endpoint, limit) = find_endpoint(instance, &forwarded.endpoint)?;
     let primary_ref = forwarded.primary_revision.map(|revision| PrimaryRef {
         service: Arc::clone(&endpoint.service),
         endpoint: Arc::clone(&endpoint.id),
@@ -198,6 +185,21 @@
     Ok(ForwardReply::new(executed.reply, Some(lease)))
 }
 
+/// Returns an endpoint for which this instance sends the statements of others, and its connections.
+fn find_endpoint(instance: &Instance, id: &str) -> Result<(Rc<Endpoint>, usize), ForwardError> {
+    if instance.is_draining() {
+        return Err(ForwardError::Declined(Suspicion::Draining));
+    }
+    let endpoint = instance.view.borrow().endpoint(id).cloned();
+    let endpoint = endpoint.ok_or(ForwardError::Declined(Suspicion::Disagrees))?;
+    let plan = plan(instance, &endpoint);
+    let limit = plan.allotment(&instance.settings().name);
+    if plan.is_direct() || limit == 0 {
+        return Err(ForwardError::Declined(Suspicion::Disagrees));
+    }
+    Ok((endpoint, limit))
+}
+
 /// Checks that this instance may use a primary. The record may arrive here later than at the sender,
 /// so this waits for it for a moment.
 async fn check_primary(
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -82,6 +82,38 @@
     primary_ref: Option<PrimaryRef>,
 }
 
+/// What the attempts of one statement have shown so far.
+#[derive(Debug)]
+struct Progress {
+    /// Endpoints that were tried in this round.
+    attempted: Vec<Arc<str>>,
+    /// Code of the last attempt that did not run.
+    last_code: Code,
+    /// Whether an endpoint received the statement or was busy.
+    was_sent: bool,
+    /// Whether the outcome of some attempt is unknown.
+    may_have_run: bool,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            attempted: Vec::new(),
+            last_code: Code::Busy,
+            was_sent: false,
+            may_have_run: false,
+        }
+    }
+}
+
+impl Progress {
+    fn record_not_run(&mut self, endpoint: Arc<str>, code: Code) {
+        self.was_sent |= code == Code::Busy;
+        self.last_code = code;
+        self.attempted.push(endpoint);
+    }
+}
+
 impl Session {
     /// Runs a statement outside a pinned transaction, at as many endpoints as needed until one
     /// succeeds.
@@ -96,73 +128,49 @@
         pending: &PendingStatement<'_>,
         begin: Option<bool>,
     ) -> Result<EndpointReply, Refusal> {
-        let queue_end = pending.arrived + self.route.latency_objective / QUEUE_WAIT_DIVISOR;
+        let queue_end = self.queue_end(pending);
         let deadline = pending.arrived + self.route.timeout;
-        let mut attempted: Vec<Arc<str>> = Vec::new();
-        let mut last_code = Code::Busy;
-        let mut was_sent = false;
-        let mut may_have_run = false;
+        let mut progress = Progress::default();
         loop {
             let targets = self.targets(pending.access, begin);
             let next_target = targets
                 .into_iter()
-                .find(|target| !attempted.contains(&target.endpoint.id));
+                .find(|target| !progress.attempted.contains(&target.endpoint.id));
             let now = self.instance.now();
             let Some(target) = next_target else {
-                // An endpoint that was just recorded as primary may refuse as read-only until it is
-                // promoted.
-                let no_primary =
-                    last_code == Code::ReadOnly || self.no_primary(pending.access, begin);
-                let limit = self.wait_limit(pending, no_primary, was_sent, queue_end);
-                if now + ROUND_INTERVAL >= limit {
-                    return Err(if may_have_run {
-                        // An attempt without an answer may have run.
-                        Refusal::new(Code::Timeout, "no endpoint answered in time")
-                    } else {
-                        no_endpoint_refusal(last_code, no_primary, attempted.len())
-                    });
-                }
-                attempted.clear();
-                self.wait_round(no_primary, limit).await;
+                self.start_round(pending, begin, &mut progress).await?;
                 continue;
             };
             let until = self.attempt_deadline(pending, &target, now, deadline);
             let id = Arc::clone(&target.endpoint.id);
-            match self.attempt(pending, begin, target, queue_end, until).await {
+            // On the heap, so that the tasks of idle sessions stay small.
+            let attempt = Box::pin(self.attempt(pending, begin, target, queue_end, until));
+            match attempt.await {
                 Ok(served) => return Ok(served),
                 Err(AttemptError::Unreachable) => {
-                    debug!(self.log, "endpoint not reached"; "id" => pending.statement.id.as_ref(),
-                        "endpoint" => id.as_ref());
                     self.instance.primary_suspected.notify_one();
-                    last_code = Code::Busy;
-                    was_sent = true;
-                    attempted.push(id);
+                    progress.record_not_run(id, Code::Busy);
                 }
                 Err(AttemptError::NotRun(code)) => {
                     debug!(self.log, "attempt did not run"; "id" => pending.statement.id.as_ref(),
                         "endpoint" => id.as_ref(), "code" => %code);
-                    was_sent |= code == Code::Busy;
-                    last_code = code;
-                    attempted.push(id);
+                    progress.record_not_run(id, code);
                 }
                 Err(AttemptError::Failed(refusal)) => return Err(refusal),
                 Err(AttemptError::OutcomeUnknown(problem)) => {
-                    info!(self.log, "try lost"; "id" => pending.statement.id.as_ref(),
-                        "endpoint" => id.as_ref(), "problem" => %problem,
-                        "service" => self.route.service.as_ref(),
-                        "took_ms" => self.instance.now().saturating_duration_since(now).as_millis() as u64);
+                    self.report_lost(pending, &id, problem, now);
                     // A silent egress instance says nothing about the endpoint, which is tried again
                     // on another path.
                     if problem != Problem::EgressLost {
                         self.instance.primary_suspected.notify_one();
-                        attempted.push(id);
+                        progress.attempted.push(id);
                     }
                     if pending.access == Access::Write && begin.is_none() {
                         let text = format!("the outcome of the write is unknown: {problem}");
                         return Err(Refusal::new(Code::Unknown, text));
                     }
-                    was_sent = true;
-                    may_have_run = true;
+                    progress.was_sent = true;
+                    progress.may_have_run = true;
                     if self.instance.now() + MIN_ATTEMPT_TIME >= deadline {
                         return Err(Refusal::new(Code::Timeout, "no endpoint answered in time"));
                     }
@@ -171,6 +179,50 @@
         }
     }
 
+    fn queue_end(&self, pending: &PendingStatement<'_>) -> Instant {
+        pending.arrived + self.route.latency_objective / QUEUE_WAIT_DIVISOR
+    }
+
+    /// Waits for the next round of attempts after all endpoints were tried; returns the refusal of the
+    /// statement if there is no time for it.
+    async fn start_round(
+        &self,
+        pending: &PendingStatement<'_>,
+        begin: Option<bool>,
+        progress: &mut Progress,
+    ) -> Result<(), Refusal> {
+        // An endpoint that was just recorded as primary may refuse as read-only until it is promoted.
+        let last_code = progress.last_code;
+        let no_primary = last_code == Code::ReadOnly || self.no_primary(pending.access, begin);
+        let queue_end = self.queue_end(pending);
+        let limit = self.wait_limit(pending, no_primary, progress.was_sent, queue_end);
+        if self.instance.now() + ROUND_INTERVAL >= limit {
+            return Err(if progress.may_have_run {
+                // An attempt without an answer may have run.
+                Refusal::new(Code::Timeout, "no endpoint answered in time")
+            } else {
+                no_endpoint_refusal(last_code, no_primary, progress.attempted.len())
+            });
+        }
+        progress.attempted.clear();
+        self.wait_round(no_primary, limit).await;
+        Ok(())
+    }
+
+    /// Logs an attempt that began at `began_at` and whose outcome is unknown.
+    fn report_lost(
+        &self,
+        pending: &PendingStatement<'_>,
+        endpoint: &str,
+        problem: Problem,
+        began_at: Instant,
+    ) {
+        let took = self.instance.now().saturating_duration_since(began_at);
+        info!(self.log, "try lost"; "id" => pending.statement.id.as_ref(),
+            "endpoint" => endpoint, "problem" => %problem,
+            "service" => self.route.service.as_ref(), "took_ms" => took.as_millis() as u64);
+    }
+
     /// Returns the time until which a statement waits for a usable endpoint.
     fn wait_limit(
         &self,
