--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -196,7 +196,9 @@
             };
             let until = self.attempt_deadline(pending, &target, now, deadline);
             let id = Arc::clone(&target.endpoint.id);
-            let error = match self.attempt(pending, begin, target, queue_end, until).await {
+            // On the heap, so that the tasks of idle sessions stay small.
+            let attempt = Box::pin(self.attempt(pending, begin, target, queue_end, until));
+            let error = match attempt.await {
                 Ok(served) => return Ok(served),
                 Err(error) => error,
             };
