--- a/crates/entry/src/pool/waiting.rs
+++ b/crates/entry/src/pool/waiting.rs
@@ -218,7 +218,12 @@
     /// Hands turns to waiting statements for as long as the learnt concurrency has room and there is
     /// a connection or a slot.
     pub(super) fn serve_waiting(self: &Rc<Self>) {
-        while let Some(waiter) = self.state.borrow_mut().next_waiter(self.clock.now()) {
+        loop {
+            // Not in a `while let`, whose borrow would last while the turn is handed over.
+            let waiter = self.state.borrow_mut().next_waiter(self.clock.now());
+            let Some(waiter) = waiter else {
+                return;
+            };
             // Nothing runs in between, so what `next_waiter` saw is still there, unless an idle
             // connection turned out closed; then its slot is free.
             let Some(resource) = self.take_resource(&waiter.workspace) else {
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -196,7 +196,8 @@
             };
             let until = self.attempt_deadline(pending, &target, now, deadline);
             let id = Arc::clone(&target.endpoint.id);
-            let error = match self.attempt(pending, begin, target, queue_end, until).await {
+            let error = match Box::pin(self.attempt(pending, begin, target, queue_end, until)).await
+            {
                 Ok(served) => return Ok(served),
                 Err(error) => error,
             };
