--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -191,7 +191,8 @@
         deadline: execution.queue_end,
         service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
     };
-    let acquired = instance.pool.acquire(endpoint_pool, &demand);
+    // On the heap, as it would make the future of every session larger.
+    let acquired = Box::pin(instance.pool.acquire(endpoint_pool, &demand));
     let time = execution.deadline.saturating_duration_since(instance.now());
     let acquired = tokio::select! {
         acquired = tokio::time::timeout(time, acquired) => acquired,
