Keep the tasks of idle sessions small

The future of a session had grown to 16,400 bytes with all parts merged (clippy large_futures); the handling of a statement is boxed, so that an idle session does not hold it.

--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -205,7 +205,9 @@
             };
             let arrived = self.instance.now();
             let unanswered = UnansweredStatement::new(&self.instance);
-            let (answer, stays_open) = self.handle_before_exit(&statement, arrived).await;
+            // On the heap, so that the tasks of idle sessions stay small.
+            let handled = Box::pin(self.handle_before_exit(&statement, arrived));
+            let (answer, stays_open) = handled.await;
             self.report(&statement, arrived, &answer);
             let limit = self.instance.settings().caller_timeout();
             let answered = tokio::time::timeout(limit, self.caller.answer(&answer)).await;
