Mend what the review of usage reports and eras found

Cause and change, one by one: an era was ORed onto an epoch of an earlier one, so that two eras could share an epoch (now onto its number); a promotion and a usage report relied on an unanswered renewal of their lock, or on a fencing token of an earlier hold (Lock::confirm asks the store and the tokens must be equal); a transfer of lanes did not ask again whether the era is confirmed; kept evacuations expired while the store was unreachable; the record of usage was not remembered over a return of the store, and was compared by revisions of two eras; a new reporter sealed overdue windows before anyone could push (test a_new_reporter_waits_for_the_counts_of_overdue_windows); an operation whose connection broke stayed counted.

--- a/crates/coordination/src/usage.rs
+++ b/crates/coordination/src/usage.rs
@@ -256,6 +256,8 @@
 #[derive(Clone, Debug)]
 pub struct Collector {
     schedule: Schedule,
+    /// Time before which no window is sealed without the counts of a live instance.
+    incomplete_from: Duration,
     sources: BTreeMap<(Arc<str>, u64), Source>,
 }
 
@@ -264,10 +266,20 @@
     pub fn new(schedule: Schedule) -> Self {
         Self {
             schedule,
+            incomplete_from: Duration::ZERO,
             sources: BTreeMap::new(),
         }
     }
 
+    /// Seals no window without the counts of a live instance before this time.
+    ///
+    /// A collector that has just begun knows no counts, and all instances push theirs again to it.
+    #[must_use]
+    pub fn incomplete_from(mut self, time: Duration) -> Self {
+        self.incomplete_from = time;
+        self
+    }
+
     /// Adds what an instance pushed. A push that is repeated or overtaken by a later one changes nothing.
     pub fn receive(&mut self, push: &Push) {
         let key = (Arc::clone(&push.instance), push.incarnation);
@@ -298,7 +310,8 @@
         };
         let missing = live.into_iter().filter(is_missing);
         let missing: Vec<Arc<str>> = missing.map(|(name, _)| name.into()).collect();
-        if !missing.is_empty() && now < end + self.schedule.lateness / WAIT_DIVISOR {
+        let wait_until = end + self.schedule.lateness / WAIT_DIVISOR;
+        if !missing.is_empty() && now < wait_until.max(self.incomplete_from) {
             return None;
         }
         let mut counts = Counts::new();
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -387,3 +387,26 @@
     clocks.set_back(2_001);
     assert_eq!(clocks.error(0), 0);
 }
+
+/// Guards against a window that a new reporter seals without counts that all instances still hold, because
+/// it was due before they could push to it.
+#[test]
+fn a_new_reporter_waits_for_the_counts_of_overdue_windows() {
+    let mut meter = Meter::new(schedule(), START);
+    let window = schedule().window_at(START);
+    meter.count(START, "shop");
+    let overdue = schedule().end(window) + Duration::from_secs(9);
+    let settled = overdue + Duration::from_millis(1_600);
+    let mut collector = Collector::new(schedule()).incomplete_from(settled);
+    assert_eq!(collector.seal(window, overdue, [("a", 1)]), None);
+    collector.receive(&meter.push("a", 1, 7, overdue));
+    let sealed = collector.seal(window, overdue, [("a", 1)]).unwrap();
+    assert_eq!(sealed.counts.get("shop"), Some(&1));
+    assert!(sealed.missing.is_empty());
+    // An instance that does not answer must not hold up the reports for longer.
+    assert!(
+        collector
+            .seal(window, settled, [("a", 1), ("b", 1)])
+            .is_some()
+    );
+}
--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -22,7 +22,7 @@
 use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::peer::CallError;
-use crate::store::{ConditionalWrite, Item, WriteOutcome, era_of, revision_in};
+use crate::store::{ConditionalWrite, Item, WriteOutcome, era_of, number_of, revision_in};
 use crate::succession::{Answer, status};
 use crate::task;
 use crate::view::{ALLOCATION_KEY, ConfirmedEra, ERA_KEY, PRIMARY_RECORD_PREFIX};
@@ -234,7 +234,7 @@
         return;
     };
     let mut next = allocation.as_ref().clone();
-    next.epoch = revision_in(era, next.epoch);
+    next.epoch = revision_in(era, number_of(next.epoch));
     if let Ok(value) = serde_json::to_vec(&next) {
         instance.remember(&ALLOCATION_KEY.into(), value);
     }
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -345,6 +345,8 @@
             return Err(AttemptError::NotRun(Code::Busy));
         }
         Ok(Err(ConnectionLost::AfterSend)) => {
+            // An endpoint that goes down has begun only the few statements in its slots.
+            instance.usage.retract(&counted);
             endpoint_pool.record_failure(now);
             return unknown(Problem::ConnectionBroke);
         }
--- a/crates/entry/src/lock.rs
+++ b/crates/entry/src/lock.rs
@@ -37,8 +37,6 @@
     pub since: Instant,
     lease: Lease,
     renewed_at: Instant,
-    /// Whether the next renewal must ask the store, whatever the time since the last one.
-    is_renewal_due: bool,
 }
 
 /// Exclusive lock of which at most one instance is the holder.
@@ -70,7 +68,6 @@
             match store.renew(held.lease).await {
                 Ok(()) => {
                     held.renewed_at = sent_at;
-                    held.is_renewal_due = false;
                     if self.terms.is_valid(held, instance.now()) {
                         return Ok(Some(*held));
                     }
@@ -109,7 +106,6 @@
             since,
             lease,
             renewed_at,
-            is_renewal_due: false,
         };
         *slot = Some(held);
         Ok(self.terms.is_valid(&held, since).then_some(held))
@@ -120,12 +116,9 @@
         let mut slot = self.held.lock().await;
         let held = slot.as_mut()?;
         let sent_at = instance.now();
-        if held.is_renewal_due || sent_at >= held.renewed_at + self.terms.renewal_interval {
+        if sent_at >= held.renewed_at + self.terms.renewal_interval {
             match instance.drivers.store.renew(held.lease).await {
-                Ok(()) => {
-                    held.renewed_at = sent_at;
-                    held.is_renewal_due = false;
-                }
+                Ok(()) => held.renewed_at = sent_at,
                 Err(error) if error.kind() == ErrorKind::Ended => {
                     info!(instance.log, "lock expired"; "key" => self.terms.key, "error" => %error);
                     *slot = None;
@@ -141,11 +134,27 @@
         self.terms.is_valid(held, instance.now()).then_some(*held)
     }
 
-    /// Makes the next [`Lock::renew`] ask the store.
-    pub async fn expect_renewal(&self) {
-        if let Some(held) = self.held.lock().await.as_mut() {
-            held.is_renewal_due = true;
+    /// Renews the lock now, and returns it if the store confirmed that.
+    ///
+    /// Unlike [`Lock::renew`] this does not rely on an earlier renewal, because a store that has
+    /// returned from a copy holds the lock no longer, however recent that was. To be used right before
+    /// an order that carries the fencing token.
+    pub async fn confirm(&self, instance: &Instance) -> Option<Held> {
+        let mut slot = self.held.lock().await;
+        let held = slot.as_mut()?;
+        let sent_at = instance.now();
+        match instance.drivers.store.renew(held.lease).await {
+            Ok(()) => held.renewed_at = sent_at,
+            Err(error) => {
+                info!(instance.log, "lock not confirmed"; "key" => self.terms.key, "error" => %error);
+                if error.kind() == ErrorKind::Ended {
+                    *slot = None;
+                }
+                return None;
+            }
         }
+        // The call may have taken longer than the lease.
+        self.terms.is_valid(held, instance.now()).then_some(*held)
     }
 
     /// Returns whether this instance has not lost the lock, although it may not be valid now.
--- a/crates/entry/src/quota/keeper.rs
+++ b/crates/entry/src/quota/keeper.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 
 use crate::instance::Instance;
-use crate::store::{ConditionalWrite, WriteOutcome, era_of, revision_in};
+use crate::store::{ConditionalWrite, WriteOutcome, era_of, number_of, revision_in};
 use crate::view::ALLOCATION_KEY;
 
 /// Time after the removal of a holder's entry before its lanes are reassigned; longer than a primary
@@ -277,9 +277,16 @@
 
     /// Replaces the allocation if its revision is `expected`.
     async fn swap(&self, mut next: Allocation, expected: u64) -> Swap {
-        let era = self.instance.view.borrow().era();
+        let (era, is_confirmed) = {
+            let view = self.instance.view.borrow();
+            (view.era(), view.is_era_confirmed())
+        };
+        // The era may have changed since the allocation was decided.
+        if !is_confirmed {
+            return Swap::Conflict;
+        }
         if era_of(next.epoch) < era {
-            next.epoch = revision_in(era, next.epoch);
+            next.epoch = revision_in(era, number_of(next.epoch));
         }
         let value = match serde_json::to_vec(&next) {
             Ok(value) => Bytes::from(value),
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -466,9 +466,9 @@
         next: &Rc<Endpoint>,
         lock: Held,
     ) -> Result<(), &'static str> {
-        // A store that has returned from a copy holds the lock no longer, however recent the renewal.
-        self.promotion_lock.expect_renewal().await;
-        if !self.renew_lock().await {
+        // Another change of this instance may have acquired the lock again, under a higher token.
+        let confirmed = self.promotion_lock.confirm(&self.instance).await;
+        if confirmed.is_none_or(|held| held.fence != lock.fence) {
             return Err("the promotion lock was lost before the promotion");
         }
         let holder = Arc::clone(&self.instance.settings().name);
--- a/crates/entry/src/usage/reporter.rs
+++ b/crates/entry/src/usage/reporter.rs
@@ -95,6 +95,10 @@
     /// Returns the lock if this instance holds it, renewed or acquired if that is due.
     async fn hold(&mut self) -> Option<Held> {
         let instance = &self.instance;
+        // The record of windows must be the newest that any instance remembers.
+        if !instance.view.borrow().is_era_confirmed() {
+            return None;
+        }
         if instance.is_draining() {
             self.lock.release(instance).await;
             return None;
@@ -149,7 +153,13 @@
             .as_ref()
             .is_none_or(|(fence, _)| *fence != held.fence)
         {
-            *collector = Some((held.fence, Collector::new(self.schedule)));
+            let settled_at = self
+                .instance
+                .usage
+                .clock
+                .at(held.since + self.settling_time);
+            let empty = Collector::new(self.schedule).incomplete_from(settled_at);
+            *collector = Some((held.fence, empty));
             self.written = None;
             self.stale_revision = None;
         }
@@ -160,11 +170,14 @@
         let view = self.instance.view.borrow();
         let seen = view.usage_record();
         let written = self.written.as_ref();
+        // Revisions don't order records of different eras of the store.
         match (seen, written) {
-            (Some((seen, revision)), Some((written, at))) if at > revision => {
+            (Some((seen, _)), Some((written, at)))
+                if written.sealed_through > seen.sealed_through =>
+            {
                 (written.clone(), *at)
             }
-            (Some((seen, revision)), _) => (Record::clone(seen), *revision),
+            (Some((seen, revision)), _) => (Record::clone(&seen), revision),
             (None, Some((written, at))) => (written.clone(), *at),
             (None, None) => {
                 let started_at = self.instance.clock.started_at();
@@ -280,10 +293,13 @@
                 continue;
             }
             // The lock may have ended during the calls before.
-            let Some(held) = self.lock.renew(&self.instance).await else {
+            let Some(confirmed) = self.lock.confirm(&self.instance).await else {
                 return;
             };
-            if !self.send(sealed, held).await {
+            if confirmed.fence != held.fence {
+                return;
+            }
+            if !self.send(sealed, confirmed).await {
                 self.resign_if_unanswered().await;
                 return;
             }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -143,7 +143,7 @@
     removed_instances: BTreeMap<Arc<str>, (InstanceEntry, Instant)>,
     /// Holder of each lock with the revision of its entry, by key.
     lock_holders: BTreeMap<Arc<str>, (LockHolder, u64)>,
-    usage_record: Option<(Rc<Record>, u64)>,
+    usage_record: Option<Rc<Record>>,
     allocation: Option<Arc<Allocation>>,
     remembered: remembered::Remembered,
 }
@@ -325,7 +325,7 @@
         }
         if key == USAGE_RECORD_KEY {
             let record = serde_json::from_slice(&item.value).map_err(unreadable)?;
-            self.usage_record = Some((Rc::new(record), item.revision));
+            self.usage_record = Some(Rc::new(record));
             return Ok(Some(Change::UsageRecord));
         }
         if key == ALLOCATION_KEY {
@@ -399,12 +399,13 @@
     pub fn expire(&mut self, now: Instant, is_connected: bool) -> Vec<Arc<str>> {
         self.removed_instances
             .retain(|_, (_, since)| now < *since + MAX_PRIMARY_LEASE);
-        for data_centre in self.remembered.expire_evacuations(now) {
-            self.evacuated.remove(&data_centre);
-        }
         if !is_connected {
+            self.remembered.extend_evacuations(now);
             return Vec::new();
         }
+        for data_centre in self.remembered.expire_evacuations(now) {
+            self.evacuated.remove(&data_centre);
+        }
         let is_gone = |entry: &EndpointEntry| {
             entry
                 .gone_since
@@ -536,8 +537,9 @@
     }
 
     /// Returns the record of sealed usage windows and its revision.
-    pub fn usage_record(&self) -> Option<&(Rc<Record>, u64)> {
-        self.usage_record.as_ref()
+    pub fn usage_record(&self) -> Option<(Rc<Record>, u64)> {
+        let record = self.usage_record.clone()?;
+        Some((record, self.stored_revision(USAGE_RECORD_KEY)))
     }
 
     /// Returns the allocation of rate limit lanes to instances.
--- a/crates/entry/src/view/remembered.rs
+++ b/crates/entry/src/view/remembered.rs
@@ -1,7 +1,8 @@
 //! What a view keeps against a store that has returned from a copy.
 //!
 //! Revisions order items only in one era. Across eras a configuration is compared by its version, a
-//! record of a primary by fencing token and number of changes, an allocation by its epoch. A value that
+//! record of a primary by fencing token and number of changes, an allocation by its epoch, the record
+//! of usage by its last window. A value that
 //! is newer than that of the copy is kept at the stored revision, so that it can be written over it.
 //! Operators and endpoints write their values again; until then evacuations and drains are kept.
 
@@ -12,8 +13,9 @@
 
 use filbertbay_coordination::share::Allocation;
 use filbertbay_coordination::succession::PrimaryRecord;
+use filbertbay_coordination::usage;
 
-use super::{ALLOCATION_KEY, Change, PRIMARY_RECORD_PREFIX, View};
+use super::{ALLOCATION_KEY, Change, PRIMARY_RECORD_PREFIX, USAGE_RECORD_KEY, View};
 use crate::store::{Dialect, Item, KeyKind, era_of};
 
 /// Time for which an evacuation that the copy lacks is kept. Operators write it again before.
@@ -48,6 +50,14 @@
         self.outdated.remove(key);
     }
 
+    /// Keeps the evacuations for the whole time from `now` on, because operators can't write them again
+    /// while the store is unreachable.
+    pub(super) fn extend_evacuations(&mut self, now: Instant) {
+        for until in self.evacuations.values_mut() {
+            *until = now + EVACUATION_RETENTION;
+        }
+    }
+
     /// Removes and returns the data centres whose evacuation was not written again.
     pub(super) fn expire_evacuations(&mut self, now: Instant) -> Vec<Arc<str>> {
         let due = self.evacuations.iter().filter(|(_, until)| now >= **until);
@@ -61,7 +71,7 @@
 
 /// Returns whether an instance wrote the key and remembers its value over eras.
 fn is_own_record(key: &str) -> bool {
-    key == ALLOCATION_KEY || key.starts_with(PRIMARY_RECORD_PREFIX)
+    key == ALLOCATION_KEY || key == USAGE_RECORD_KEY || key.starts_with(PRIMARY_RECORD_PREFIX)
 }
 
 /// Returns whether `older` is a usable value of an own record that precedes `newer`.
@@ -73,6 +83,13 @@
         };
         return epoch(newer).is_some_and(|newer| epoch(older).is_none_or(|older| older < newer));
     }
+    if key == USAGE_RECORD_KEY {
+        let sealed = |value: &[u8]| {
+            let record = serde_json::from_slice::<usage::Record>(value).ok();
+            record.map(|one| one.sealed_through)
+        };
+        return sealed(newer).is_some_and(|newer| sealed(older).is_none_or(|older| older < newer));
+    }
     let record = |value: &[u8]| serde_json::from_slice::<PrimaryRecord>(value).ok();
     let Some(newer) = record(newer) else {
         return false;
@@ -105,7 +122,7 @@
             .collect()
     }
 
-    /// Returns the records of primaries and the allocation of lanes, as known here.
+    /// Returns the records of primaries and of usage and the allocation of lanes, as known here.
     pub fn own_records(&self) -> Vec<Item> {
         let items = self.items.values();
         items
