--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -4,7 +4,7 @@
 //! deadlines: a burst of statements of low priority beside few of high priority; some workspaces that
 //! send many times their usual; and all callers at once after an outage.
 //!
-//! - A statement runs at once while the learnt [`ConcurrencyLimit`] has room and nothing of its or a
+//! - A statement runs at once while the learnt [`ConcurrencyLimit`] allows it and nothing of its or a
 //!   higher priority waits. Otherwise it waits.
 //! - Waiting statements are served by priority, zero first, and within a priority by the fair
 //!   [`Queue`] over workspaces.
@@ -70,10 +70,10 @@
 /// Average below which the bound on one turn no longer shrinks.
 const MIN_LONG_TURN: Duration = Duration::from_millis(5);
 
-/// Service time assumed while neither turns nor a hint tell one.
+/// Service time assumed while neither turns nor a hint give one.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(15);
 
-/// Bounds of the time after which a refused caller is told to come back, before it is spread.
+/// Bounds of the time after which a refused caller should retry, before it is spread.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 50..=2_000;
 
 /// Statement that wants to run on the endpoint.
@@ -143,7 +143,7 @@
         }
     }
 
-    /// Applies the number of slots that the endpoint's entry tells.
+    /// Applies the number of slots that the endpoint's entry states.
     pub fn set_slots(&mut self, now: Instant, slots: u32) {
         self.limit.configure(now, limit_config(slots));
     }
--- a/crates/coordination/src/limit.rs
+++ b/crates/coordination/src/limit.rs
@@ -43,7 +43,7 @@
 /// Slowdown above which the limit shrinks.
 const SHRINK_ABOVE: f64 = 1.5;
 
-/// Slowdown below which the endpoint has become faster than its baselines tell.
+/// Slowdown below which the endpoint has become faster than its baselines.
 const FASTER_BELOW: f64 = 0.7;
 
 /// Weight of a new sample in the slowdown.
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -264,7 +264,7 @@
     for millis in &returns {
         by_tenth[((millis - first) * 10 / (last - first)) as usize] += 1;
     }
-    // Told one time, all would return in the same tenth of a second.
+    // With one time for all, they would return in the same tenth of a second.
     assert!(last - first > 80, "from {first} to {last} ms");
     assert!(
         *by_tenth.iter().max().unwrap() < returns.len() / 6,
--- a/crates/coordination/tests/limit.rs
+++ b/crates/coordination/tests/limit.rs
@@ -16,7 +16,7 @@
 }
 
 impl Member {
-    /// Creates a member whose entry doesn't tell its slots, so that the limit starts at one.
+    /// Creates a member whose entry doesn't state its slots, so that the limit starts at one.
     fn new(max: u32) -> Self {
         let now = Instant::now();
         let limit = ConcurrencyLimit::new(now, Config { slots: 1, max });
--- a/crates/coordination/tests/usage.rs
+++ b/crates/coordination/tests/usage.rs
@@ -43,7 +43,7 @@
     Kill {
         instance: u8,
     },
-    /// The reporter seals, and may die before the report, or before it hears the answer.
+    /// The reporter seals, and may die before the report, or before it gets the answer.
     Report {
         fate: u8,
     },
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -38,7 +38,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 
 /// Time without any answer of an egress instance after which it is probed.
-const PATIENCE: Duration = Duration::from_millis(120);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Timeout of a probe; an instance with a tenth of a core may need some turns for its answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -112,7 +112,7 @@
     plan
 }
 
-/// Returns through which instance a statement of a workspace goes to an endpoint.
+/// Returns the path of a workspace's statement to an endpoint.
 pub fn path(instance: &Instance, endpoint: &Endpoint, workspace: &str) -> Path {
     let plan = plan(instance, endpoint);
     let now = instance.now();
@@ -336,7 +336,7 @@
         let answered = instance.forwards.last_answers.borrow().get(name).copied();
         last = last.max(answered.unwrap_or(last));
         let now = instance.now();
-        let wait = (last + PATIENCE).saturating_duration_since(now);
+        let wait = (last + SILENCE_TIMEOUT).saturating_duration_since(now);
         if wait > Duration::ZERO {
             tokio::time::sleep(wait).await;
         } else if instance.peers.is_alive(address, PROBE_TIMEOUT).await {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -511,7 +511,7 @@
     }
 
     /// Returns how many connections this instance keeps to an endpoint, zero if it only opens one when
-    /// no egress instance answers, and tells the endpoint's pool how many of them to keep idle.
+    /// no egress instance answers, and sets how many of them the endpoint's pool keeps idle.
     pub fn allot(&self, endpoint: &Rc<Endpoint>) -> usize {
         let plan = forward::plan(self, endpoint);
         let allotment = plan.allotment(&self.settings().name);
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -5,7 +5,7 @@
 //! statement takes an idle connection of its workspace, opens a new one, or closes the least
 //! recently used idle connection of another workspace to open its own. While all connections are in
 //! use, or the endpoint has as many statements in flight as it takes well, it waits for its turn:
-//! `coordination::admission` decides, and [`waiting`] carries out.
+//! `coordination::admission` decides, and `waiting` carries out.
 
 mod held;
 mod waiting;
--- a/crates/entry/src/pool/waiting.rs
+++ b/crates/entry/src/pool/waiting.rs
@@ -230,7 +230,7 @@
                 continue;
             };
             let permit = InFlightGuard::started(self, Some(waiter.priority));
-            // A turn that nobody waits for any more frees itself.
+            // A turn whose waiter has left frees itself.
             drop(waiter.grant.send(Turn { resource, permit }));
         }
     }
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -38,7 +38,7 @@
 /// A read is sent to another endpoint after the expected latency times this.
 const ATTEMPT_LATENCY_FACTOR: u32 = 5;
 
-/// Time after which a caller comes back that no endpoint served, if no endpoint told one.
+/// Time after which a caller that no endpoint served should retry, if no endpoint stated one.
 const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Time around which callers come back, spread, while a primary is being changed.
@@ -96,7 +96,7 @@
     attempted: Vec<Arc<str>>,
     /// Endpoints of this round that had no turn for the statement in time.
     overloaded: usize,
-    /// Shortest time to come back that an endpoint without a turn told.
+    /// Shortest time to retry after that an endpoint without a turn stated.
     retry_after: Option<Duration>,
     /// Why the last attempt did not run; none before the first.
     last_code: Option<Code>,
--- a/crates/entry/src/usage/reporter.rs
+++ b/crates/entry/src/usage/reporter.rs
@@ -24,7 +24,7 @@
     margin: Duration::from_millis(1_200),
 };
 
-/// Time that an instance waits for each instance before it to take a lock that nobody holds.
+/// Time that an instance waits for each instance ranked before it to take a free lock.
 const STAGGER_PER_RANK: Duration = Duration::from_millis(100);
 
 /// Upper limit of the stagger in a large fleet.
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Returns whether nobody has held the lock for so long that this instance takes it.
+    /// Returns whether the lock has been free for so long that this instance takes it.
     fn is_due(&mut self) -> bool {
         let instance = &self.instance;
         let now = instance.now();
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -2,7 +2,7 @@
 //!
 //! The raw items are kept beside the decoded values, so that instances that can't reach the store
 //! can copy them. An item is only replaced by one of a higher revision, so the configuration never
-//! reverts while the process runs. After the store has returned from a copy, [`remembered`] keeps what
+//! reverts while the process runs. After the store has returned from a copy, `remembered` keeps what
 //! the copy may not take back.
 
 mod remembered;
