Log on which evidence an instance used a primary, and how each instance released it

A statement that was served leaves no line, and a change of primary says only how many instances were asked and whose lease ended; a refused connection looks like an acknowledgement.

Change: no decision changes. The waiting moved to succession/release.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -120,9 +120,10 @@
 
     /// Returns true if a confirmation by other instances will soon be needed to extend the lease.
     pub fn needs_peer_confirmation(&self, now: Instant) -> bool {
-        let is_old = |at: Option<Instant>, age: Duration| at.is_none_or(|at| now >= at + age);
-        is_old(self.last_contact, BASE_PRIMARY_LEASE / 2)
-            && is_old(self.last_peer_confirmation, PEER_CONFIRMATION_TTL / 4)
+        let is_confirmation_old = self
+            .confirmation_age(now)
+            .is_none_or(|age| age >= PEER_CONFIRMATION_TTL / 4);
+        self.is_contact_old(now) && is_confirmation_old
     }
 
     /// Records whether the store lists this instance.
@@ -150,6 +151,23 @@
         self.last_contact
             .map(|at| now.saturating_duration_since(at))
     }
+
+    /// Returns the time since the last confirmation by other instances, or `None` before the first.
+    pub fn confirmation_age(&self, now: Instant) -> Option<Duration> {
+        self.last_peer_confirmation
+            .map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Returns whether the store lists this instance.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
+    /// Returns whether the last contact with the store is so old that regular watches must have failed.
+    pub fn is_contact_old(&self, now: Instant) -> bool {
+        self.contact_age(now)
+            .is_none_or(|age| age >= BASE_PRIMARY_LEASE / 2)
+    }
 }
 
 /// Waits until no instance can use the old primary any more.
--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -227,6 +227,11 @@
         connection.release();
         return Err(AttemptError::NotRun(Code::Busy));
     }
+    if let Some(primary) = primary_ref {
+        instance
+            .trace
+            .record_use(instance, primary, execution.work.id);
+    }
     let reply = exchange_before(instance, endpoint_pool, execution, &mut connection).await?;
     drop(primary_use);
     match &reply.result {
@@ -272,6 +277,9 @@
     let mut aborts = endpoint_pool.subscribe_aborts();
     let _in_flight = InFlightGuard::new(&endpoint_pool);
     let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+    if let Some(primary) = primary_ref {
+        instance.trace.record_use(instance, primary, work.id);
+    }
     let sent_at = instance.now();
     let limit = deadline.saturating_duration_since(sent_at);
     let running = async {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::quota::Quota;
 use crate::settings::Settings;
 use crate::store::{Dialect, Event, Failover, Item, Listing, Metering, Store};
+use crate::trace::Trace;
 use crate::usage::Usage;
 use crate::view::{Change, PROMOTION_LOCK_KEY, USAGE_LOCK_KEY, View};
 
@@ -120,6 +121,8 @@
     pub watermarks: Watermarks,
     /// Counts of the statements that are sent to endpoints.
     pub usage: Usage,
+    /// What has been logged about the use of primaries.
+    pub trace: Trace,
     /// Logger.
     pub log: Logger,
     /// Counter that grows with each change of the view.
@@ -152,6 +155,7 @@
             forwards: Forwards::default(),
             quota,
             usage: Usage::new(&settings, clock),
+            trace: Trace::default(),
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
             clock,
@@ -270,6 +274,7 @@
                 self.quota.confirm_ownership(queried_at);
             }
         }
+        self.trace.record_lease(self);
         self.dispatch_changes(changes);
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod store;
 pub mod succession;
 pub mod task;
+pub mod trace;
 pub mod usage;
 pub mod view;
 pub mod watcher;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -185,7 +185,11 @@
     async fn leave(self, _: context::Context, service: Arc<str>, record: Item) -> bool {
         let revision = record.revision;
         self.0.apply_item(record);
-        succession::wait_until_released(&self.0, &service, revision).await
+        let is_released = succession::wait_until_released(&self.0, &service, revision).await;
+        info!(self.0.log, "release of a primary requested"; "service" => service.as_ref(),
+            "record_revision" => revision, "released" => is_released,
+            "statements" => self.0.primary_use_count(&service));
+        is_released
     }
 
     async fn reach(self, _: context::Context, endpoint: Arc<str>) -> Reach {
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -8,6 +8,7 @@
 //! starts the change again.
 
 mod evidence;
+mod release;
 mod selection;
 
 pub(crate) use self::evidence::{Answer, status};
@@ -21,20 +22,16 @@
 
 use bytes::Bytes;
 use filbertbay_coordination::rendezvous;
-use filbertbay_coordination::succession::{
-    BASE_PRIMARY_LEASE, Phase, PrimaryRecord, ReleaseBarrier,
-};
+use filbertbay_coordination::succession::{Phase, PrimaryRecord};
 use filbertbay_state::status::Role;
-use futures::future::join_all;
 use slog::{info, warn};
 
 use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::lock::{self, Held, Lock};
-use crate::peer::CallError;
 use crate::store::{ConditionalWrite, Error, ErrorKind, Item, Promotion, WriteOutcome};
 use crate::task;
-use crate::view::{INSTANCE_PREFIX, InstanceEntry, PRIMARY_RECORD_PREFIX, PROMOTION_LOCK_KEY};
+use crate::view::{PRIMARY_RECORD_PREFIX, PROMOTION_LOCK_KEY};
 
 /// Time that an instance waits for each instance before it to act first.
 const STAGGER_PER_RANK: Duration = Duration::from_millis(150);
@@ -375,90 +372,6 @@
         }
     }
 
-    /// Waits until every instance has released the previous primary or its lease has expired.
-    async fn wait_for_release(
-        &self,
-        service: &Arc<str>,
-        release_record: &Item,
-    ) -> Result<(), &'static str> {
-        let started_at = self.instance.now();
-        let lease_holders = self.lease_holders().await?;
-        let names = lease_holders.keys().cloned();
-        let all_known_at = self.instance.clock.started_at() + BASE_PRIMARY_LEASE;
-        let mut barrier = ReleaseBarrier::new(started_at, names).not_before(all_known_at);
-        let own = Arc::clone(&self.instance.settings().name);
-        loop {
-            let pending: Vec<Arc<str>> = barrier.pending().cloned().collect();
-            let requests = pending.iter().map(|name| {
-                let peer = &lease_holders[name];
-                self.request_release(peer, *name == own, service, release_record)
-            });
-            let released = join_all(requests).await;
-            for (name, _) in pending
-                .iter()
-                .zip(released)
-                .filter(|(_, is_released)| *is_released)
-            {
-                barrier.acknowledge(name);
-            }
-            let now = self.instance.now();
-            if barrier.is_complete(now) {
-                let pending: Vec<&str> = barrier.pending().map(AsRef::as_ref).collect();
-                info!(self.instance.log, "former primary out of use"; "service" => service.as_ref(),
-                    "asked" => lease_holders.len(), "lapsed" => pending.join(","),
-                    "took_ms" => now.saturating_duration_since(started_at).as_millis() as u64);
-                return Ok(());
-            }
-            if !self.renew_lock().await {
-                return Err(
-                    "the promotion lock was lost while instances released the previous primary",
-                );
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    }
-
-    /// Returns every instance whose primary lease may still be valid, from the store and the view.
-    async fn lease_holders(&self) -> Result<BTreeMap<Arc<str>, InstanceEntry>, &'static str> {
-        let listing = self.instance.drivers.store.list(INSTANCE_PREFIX).await;
-        let listing = listing.map_err(|_| "the store did not list the instances")?;
-        let mut all = self.instance.view.borrow().possible_lease_holders();
-        for item in listing.items {
-            let name = item.key.strip_prefix(INSTANCE_PREFIX);
-            let peer = serde_json::from_slice(&item.value).ok();
-            if let (Some(name), Some(peer)) = (name, peer) {
-                all.insert(name.into(), peer);
-            }
-        }
-        Ok(all)
-    }
-
-    /// Asks an instance to release the previous primary, and returns whether it did. A refused
-    /// connection counts as a release, since no process runs there.
-    async fn request_release(
-        &self,
-        peer: &InstanceEntry,
-        is_self: bool,
-        service: &Arc<str>,
-        release_record: &Item,
-    ) -> bool {
-        if is_self {
-            return wait_until_released(&self.instance, service, release_record.revision).await;
-        }
-        let arguments = (Arc::clone(service), release_record.clone());
-        match self
-            .instance
-            .peers
-            .leave(peer.address, arguments.0, arguments.1)
-            .await
-        {
-            Ok(is_released) => is_released,
-            // A process that starts at the address later reads the record before it uses a primary.
-            Err(CallError::Absent) => true,
-            Err(CallError::Unanswered) => false,
-        }
-    }
-
     /// Orders the promotion and waits until the member is primary.
     async fn promote(
         &self,
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -501,6 +501,7 @@
 async fn expire_loop(instance: Rc<Instance>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
+        instance.trace.record_lease(&instance);
         let now = instance.now();
         let is_connected = instance.is_store_reachable.get();
         let removed = instance.view.borrow_mut().expire(now, is_connected);
--- a/crates/filbertctl/src/command/explain.rs
+++ b/crates/filbertctl/src/command/explain.rs
@@ -14,12 +14,15 @@
 /// Messages that log the state of an instance, with the field that identifies its subject.
 ///
 /// An empty field means that an instance has one such state; a later record replaces it.
-const STATE_MESSAGES: [(&str, &str); 6] = [
+const STATE_MESSAGES: [(&str, &str); 9] = [
     ("configuration in force", ""),
     ("record of a primary changed", "service"),
     ("record of shares changed", ""),
     ("store lost", ""),
     ("store reached", ""),
+    ("primary lease valid", ""),
+    ("primary lease ended", ""),
+    ("release of a primary requested", "service"),
     ("readiness changed", ""),
 ];
 
