Take a refused connection for no release of a primary

An old primary was replaced while instances behind a partition that resets connections still held their lease and read from it.

Cause: the instance that changes a primary counted a refused connection as a release, since no process runs there. A partition that answers with resets refuses as well, so the barrier was complete in 60 ms. Class: silence or an error of the way taken for evidence about the other end.

Change: succession::release decides. Only an instance's own word or the end of its lease counts. The next process at the same address may give the word for one that crashed, since it can't listen before that one has ended; so a restarted instance costs the time of its restart, and one that stays down its lease, 4 s.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -7,33 +7,16 @@
 //! they know of no newer record, up to [`MAX_PRIMARY_LEASE`].
 //!
 //! Before another member is promoted, every instance must therefore have acknowledged that it no
-//! longer uses the old primary, or be known to run no process, or its lease must have expired. The
-//! [`ReleaseBarrier`] checks this. If at most a quarter of the instances are missing, a missing
-//! instance can't have been confirmed by half of the others without learning of the change, so
-//! [`BASE_PRIMARY_LEASE`] is long enough to wait. Otherwise the wait is [`MAX_PRIMARY_LEASE`].
+//! longer uses the old primary, or its lease must have expired. The [`release::Barrier`] checks this.
 //!
 //! Safety depends neither on the time of day nor on correct membership. It depends only on the list
 //! of instances that the store returned after the change, and on the instances that disappeared
 //! from this list less than [`MAX_PRIMARY_LEASE`] ago.
 //!
-//! # Examples
-//!
-//! ```
-//! use std::time::Instant;
-//! use filbertbay_coordination::succession::{MAX_PRIMARY_LEASE, ReleaseBarrier};
-//!
-//! let now = Instant::now();
-//! let mut barrier = ReleaseBarrier::new(now, ["quimper-1".into(), "nantes-1".into()]);
-//! barrier.acknowledge("quimper-1");
-//! assert!(!barrier.is_complete(now));
-//! assert!(barrier.is_complete(now + MAX_PRIMARY_LEASE));
-//! barrier.acknowledge("nantes-1");
-//! assert!(barrier.is_complete(now));
-//! ```
 
+pub mod release;
 pub mod successor;
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -54,9 +37,6 @@
 /// queries to them while the store is unreachable.
 const PEER_CONFIRMATION_TTL: Duration = Duration::from_secs(2);
 
-/// At most one in this many instances may be missing for a change after [`BASE_PRIMARY_LEASE`].
-const MISSING_DIVISOR: usize = 4;
-
 /// Consecutive failures after which a primary is suspected.
 const SUSPECT_FAILURES: u32 = 2;
 
@@ -170,63 +150,6 @@
     }
 }
 
-/// Waits until no instance can use the old primary any more.
-#[derive(Clone, Debug)]
-pub struct ReleaseBarrier {
-    pending: BTreeSet<Arc<str>>,
-    total: usize,
-    recorded_at: Instant,
-    not_before: Option<Instant>,
-}
-
-impl ReleaseBarrier {
-    /// Creates a barrier for `instances`.
-    ///
-    /// `recorded_at` must not be earlier than the time at which the store accepted the record.
-    pub fn new<I>(recorded_at: Instant, instances: I) -> Self
-    where
-        I: IntoIterator<Item = Arc<str>>,
-    {
-        let pending: BTreeSet<Arc<str>> = instances.into_iter().collect();
-        Self {
-            total: pending.len(),
-            pending,
-            recorded_at,
-            not_before: None,
-        }
-    }
-
-    /// Keeps the barrier incomplete until `at`, for a caller that may not know every instance yet.
-    #[must_use]
-    pub fn not_before(mut self, at: Instant) -> Self {
-        self.not_before = Some(at);
-        self
-    }
-
-    /// Records that an instance has stopped using the old primary, or runs no process.
-    pub fn acknowledge(&mut self, instance: &str) {
-        self.pending.remove(instance);
-    }
-
-    /// Returns true if no instance can use the old primary any more.
-    ///
-    /// Always true [`MAX_PRIMARY_LEASE`] after the record, when every lease has expired.
-    pub fn is_complete(&self, now: Instant) -> bool {
-        if now >= self.recorded_at + MAX_PRIMARY_LEASE {
-            return true;
-        }
-        let is_early = self.not_before.is_some_and(|at| now < at);
-        let is_few_pending = self.pending.len() * MISSING_DIVISOR <= self.total;
-        let is_base_expired = is_few_pending && now >= self.recorded_at + BASE_PRIMARY_LEASE;
-        !is_early && (self.pending.is_empty() || is_base_expired)
-    }
-
-    /// Returns the instances that have not acknowledged.
-    pub fn pending(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.pending.iter()
-    }
-}
-
 /// Passive failure detector of one endpoint, fed by the results of regular requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FailureDetector {
--- a/crates/coordination/tests/succession.rs
+++ b/crates/coordination/tests/succession.rs
@@ -1,15 +1,17 @@
 //! Random histories of instances, a store and a holder that changes a primary.
 //!
-//! Instances are partitioned from the store and from each other, and are frozen. The holder collects
-//! acknowledgements and promotes when its barrier is complete. From then on, no instance that does
-//! not know of the change may have a valid lease.
+//! Instances are partitioned from the store and from each other, frozen, or killed and started again.
+//! Partitions drop packets or refuse connections. The holder collects answers and promotes when its
+//! barrier is complete. From then on, no instance that does not know of the change may have a valid
+//! lease.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use check::runner;
+use filbertbay_coordination::succession::release::{Answer, Barrier};
 use filbertbay_coordination::succession::{
-    BASE_PRIMARY_LEASE, FailureDetector, MAX_PRIMARY_LEASE, PrimaryLease, ReleaseBarrier,
+    BASE_PRIMARY_LEASE, FailureDetector, MAX_PRIMARY_LEASE, PrimaryLease,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -33,6 +35,8 @@
     side: (usize, usize),
     /// Frozen: handles and answers nothing.
     frozen: (usize, usize),
+    /// Not running: connections are refused, and the next process knows nothing at first.
+    killed: (usize, usize),
 }
 
 #[derive(Clone, Debug)]
@@ -40,6 +44,8 @@
     faults: Vec<Faults>,
     /// Which instances are on the holder's side of a partition.
     near: Vec<bool>,
+    /// Whether connections over the partition are refused.
+    is_refusing: bool,
     moved: usize,
 }
 
@@ -57,6 +63,7 @@
             store: span(g, 150),
             side: span(g, 150),
             frozen: span(g, 60),
+            killed: span(g, 30),
         };
         let moved = 50 + usize::arbitrary(g) % 200;
         let mut faults: Vec<Faults> = (0..INSTANCES).map(|_| fault(g)).collect();
@@ -75,6 +82,7 @@
         Self {
             faults,
             near,
+            is_refusing: bool::arbitrary(g),
             moved,
         }
     }
@@ -89,15 +97,30 @@
         instance != 0 && Self::contains(self.faults[instance].frozen, step)
     }
 
+    fn is_killed(&self, instance: usize, step: usize) -> bool {
+        instance != 0 && Self::contains(self.faults[instance].killed, step)
+    }
+
     fn reaches_store(&self, instance: usize, step: usize) -> bool {
         instance == 0 || !Self::contains(self.faults[instance].store, step)
     }
 
-    fn can_reach(&self, from: usize, to: usize, step: usize) -> bool {
+    /// Returns the answer of `to` to a request of `from`, if it released the primary at once.
+    fn answer(&self, from: usize, to: usize, step: usize) -> Answer {
         let is_cut =
             |instance: usize| instance != 0 && Self::contains(self.faults[instance].side, step);
         let is_partitioned = self.near[from] != self.near[to] && (is_cut(from) || is_cut(to));
-        !is_partitioned && !self.is_frozen(to, step)
+        if is_partitioned && !self.is_refusing || self.is_frozen(to, step) {
+            Answer::Unanswered
+        } else if is_partitioned || self.is_killed(to, step) {
+            Answer::Refused
+        } else {
+            Answer::Released
+        }
+    }
+
+    fn can_reach(&self, from: usize, to: usize, step: usize) -> bool {
+        self.answer(from, to, step) == Answer::Released
     }
 }
 
@@ -114,20 +137,28 @@
         lease.record_contact(start);
     }
     let mut knows_change = [false; INSTANCES];
-    let mut barrier = ReleaseBarrier::new(at(history.moved), names.iter().cloned());
+    let mut barrier = Barrier::new(at(history.moved), names.iter().cloned());
     for step in 1..STEPS {
         let now = at(step);
         for instance in 0..INSTANCES {
+            if history.is_killed(instance, step) {
+                leases[instance] = PrimaryLease::default();
+                knows_change[instance] = false;
+                continue;
+            }
             if history.is_frozen(instance, step) || step % CONTACT_STEPS != instance % CONTACT_STEPS
             {
                 continue;
             }
             if history.reaches_store(instance, step) {
+                leases[instance].set_listed(true);
                 leases[instance].record_contact(now);
                 knows_change[instance] |= step >= history.moved;
                 continue;
             }
-            let others = (0..INSTANCES).filter(|other| *other != instance);
+            // A process confirms others only once it has heard from the store itself.
+            let others = (0..INSTANCES)
+                .filter(|other| *other != instance && leases[*other].contact_age(now).is_some());
             let answering: Vec<usize> = others
                 .filter(|other| history.can_reach(instance, *other, step))
                 .collect();
@@ -141,10 +172,9 @@
         }
         knows_change[0] = true;
         for instance in 0..INSTANCES {
-            if history.can_reach(0, instance, step) {
-                knows_change[instance] = true;
-                barrier.acknowledge(&names[instance]);
-            }
+            let answer = history.answer(0, instance, step);
+            knows_change[instance] |= answer == Answer::Released;
+            barrier.record(&names[instance], answer);
         }
         if barrier.is_complete(now) {
             let can_use = |instance: &usize| {
@@ -189,19 +219,33 @@
     let names: Vec<Arc<str>> = (0..8)
         .map(|instance| format!("i-{instance}").into())
         .collect();
-    let mut barrier = ReleaseBarrier::new(start, names.iter().cloned());
+    let mut barrier = Barrier::new(start, names.iter().cloned());
     names
         .iter()
         .take(5)
-        .for_each(|name| barrier.acknowledge(name));
+        .for_each(|name| barrier.record(name, Answer::Released));
     assert!(!barrier.is_complete(start + BASE_PRIMARY_LEASE));
-    barrier.acknowledge(&names[5]);
+    barrier.record(&names[5], Answer::Released);
     assert!(!barrier.is_complete(start + BASE_PRIMARY_LEASE.saturating_sub(STEP)));
     assert!(barrier.is_complete(start + BASE_PRIMARY_LEASE));
-    let delayed = ReleaseBarrier::new(start, []).not_before(start + STEP);
+    let delayed = Barrier::new(start, []).not_before(start + STEP);
     assert!(!delayed.is_complete(start) && delayed.is_complete(start + STEP));
 }
 
+/// Guards against reads of a former primary by an instance behind a partition that resets
+/// connections: a refusal counted as a release, so that the change didn't wait for its lease.
+#[test]
+fn a_refused_connection_is_no_release() {
+    let start = Instant::now();
+    let mut barrier = Barrier::new(start, ["i-0".into(), "i-1".into()]);
+    barrier.record("i-0", Answer::Released);
+    barrier.record("i-1", Answer::Refused);
+    assert!(!barrier.is_complete(start + BASE_PRIMARY_LEASE.saturating_sub(STEP)));
+    barrier.record("i-1", Answer::Released);
+    barrier.record("i-1", Answer::Refused);
+    assert!(barrier.is_complete(start), "a release is not taken back");
+}
+
 #[test]
 fn a_single_failure_raises_no_suspicion() {
     let start = Instant::now();
--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -151,7 +151,7 @@
                     .for_each(|item| instance.remember(&item.key, item.value)),
                 Err(CallError::Unanswered) => missing += 1,
                 // No process runs there that could remember anything.
-                Err(CallError::Absent) => {}
+                Err(CallError::Refused) => {}
             }
         }
     }
--- a/crates/entry/src/peer/outbound.rs
+++ b/crates/entry/src/peer/outbound.rs
@@ -47,8 +47,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum CallError {
-    /// The connection was refused, so no process listens at the address.
-    Absent,
+    /// The connection was refused: no process listens at the address, or a partition resets
+    /// connections.
+    Refused,
     /// No connection or no answer within the timeout.
     Unanswered,
 }
@@ -252,7 +253,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no answer arrived; [`CallError::Absent`] proves that no process runs.
+    /// Returns an error if no answer arrived.
     pub async fn leave(
         &self,
         to: SocketAddr,
@@ -329,7 +330,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no answer arrived; [`CallError::Absent`] proves that no process runs.
+    /// Returns an error if no answer arrived.
     pub async fn records(&self, to: SocketAddr, known: u64) -> Result<Vec<Item>, CallError> {
         self.call(to, VIEW_TIMEOUT, async move |client, context| {
             client.records(context, known).await
@@ -383,7 +384,7 @@
     let stream = match connected {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            return Err(CallError::Absent);
+            return Err(CallError::Refused);
         }
         Ok(Err(_)) | Err(_) => return Err(CallError::Unanswered),
     };
