Wait for confirmations that were given before a late release of a primary

What callers could see: a read of a former primary up to 2 s after another member was promoted. An instance that is cut off from the store and from the instance that changes the primary stays confirmed by others in its data centre. They release the primary late, when the partition ends for them, and a change that was then past its base time of 4 s went on at once, with their last confirmation still valid.

Cause: Barrier looked only at the number of missing instances and the time since the record. With at most a quarter missing none can be confirmed any more, but a confirmation from right before counts for PEER_CONFIRMATION_TTL. Class: a lease is judged by when it was last extended, not by when the evidence for it ends.

Change: Barrier keeps the time since which at most a quarter is missing, and the base wait also lasts PEER_CONFIRMATION_TTL from then. record takes the time. The count of missing instances is kept, not counted each time.

Cost: none if all but a quarter release within 2 s of the record. Otherwise the change waits up to 2 s longer, 10 s after the record at most, as before.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -35,7 +35,7 @@
 
 /// Time for which a confirmation by other instances extends a lease; twice the interval between
 /// queries to them while the store is unreachable.
-const PEER_CONFIRMATION_TTL: Duration = Duration::from_secs(2);
+pub const PEER_CONFIRMATION_TTL: Duration = Duration::from_secs(2);
 
 /// Consecutive failures after which a primary is suspected.
 const SUSPECT_FAILURES: u32 = 2;
--- a/crates/coordination/src/succession/release.rs
+++ b/crates/coordination/src/succession/release.rs
@@ -5,9 +5,10 @@
 //! crash, the next process at the same address gives its word: it can't listen there before the
 //! crashed one has ended, and it knows of the change when it acknowledges.
 //!
-//! If at most a quarter of the instances are missing, none of them can be confirmed by half of the
-//! others without learning of the change, so [`BASE_PRIMARY_LEASE`] is long enough to wait. Otherwise
-//! the wait is [`MAX_PRIMARY_LEASE`].
+//! Once at most a quarter of the instances are missing, none of them can be confirmed by half of the
+//! others without learning of the change. A confirmation from before that counts for
+//! [`PEER_CONFIRMATION_TTL`], and without one a lease ends [`BASE_PRIMARY_LEASE`] after the record. As
+//! long as more are missing, the wait is [`MAX_PRIMARY_LEASE`].
 //!
 //! # Examples
 //!
@@ -18,11 +19,11 @@
 //!
 //! let now = Instant::now();
 //! let mut barrier = Barrier::new(now, ["quimper-1".into(), "nantes-1".into()]);
-//! barrier.record("quimper-1", Answer::Released);
-//! barrier.record("nantes-1", Answer::Refused);
+//! barrier.record(now, "quimper-1", Answer::Released);
+//! barrier.record(now, "nantes-1", Answer::Refused);
 //! assert!(!barrier.is_complete(now));
 //! assert!(barrier.is_complete(now + MAX_PRIMARY_LEASE));
-//! barrier.record("nantes-1", Answer::Released);
+//! barrier.record(now, "nantes-1", Answer::Released);
 //! assert!(barrier.is_complete(now));
 //! ```
 
@@ -30,9 +31,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::{BASE_PRIMARY_LEASE, MAX_PRIMARY_LEASE};
+use super::{BASE_PRIMARY_LEASE, MAX_PRIMARY_LEASE, PEER_CONFIRMATION_TTL};
 
-/// At most one in this many instances may be missing for a change after [`BASE_PRIMARY_LEASE`].
+/// At most one in this many instances may be missing for a change before [`MAX_PRIMARY_LEASE`].
 const MISSING_DIVISOR: usize = 4;
 
 /// Last answer of an instance to the request to release the previous primary.
@@ -54,7 +55,11 @@
 #[derive(Clone, Debug)]
 pub struct Barrier {
     answers: BTreeMap<Arc<str>, Answer>,
+    /// Instances that have not released the primary.
+    pending_count: usize,
     recorded_at: Instant,
+    /// Since when so few instances are missing that they can't be confirmed by half of the others.
+    few_pending_since: Option<Instant>,
     not_before: Option<Instant>,
 }
 
@@ -67,9 +72,12 @@
         I: IntoIterator<Item = Arc<str>>,
     {
         let unanswered = |name| (name, Answer::default());
+        let answers: BTreeMap<Arc<str>, Answer> = instances.into_iter().map(unanswered).collect();
         Self {
-            answers: instances.into_iter().map(unanswered).collect(),
+            pending_count: answers.len(),
+            answers,
             recorded_at,
+            few_pending_since: None,
             not_before: None,
         }
     }
@@ -81,12 +89,21 @@
         self
     }
 
-    /// Records the answer of an instance. One that has released the primary doesn't take it back.
-    pub fn record(&mut self, instance: &str, answer: Answer) {
-        if let Some(last) = self.answers.get_mut(instance)
-            && *last != Answer::Released
-        {
-            *last = answer;
+    /// Records the answer of an instance that arrived at `now` or before. One that has released the
+    /// primary doesn't take it back.
+    pub fn record(&mut self, now: Instant, instance: &str, answer: Answer) {
+        let Some(last) = self.answers.get_mut(instance) else {
+            return;
+        };
+        if *last == Answer::Released {
+            return;
+        }
+        *last = answer;
+        if answer == Answer::Released {
+            self.pending_count -= 1;
+        }
+        if self.pending_count * MISSING_DIVISOR <= self.answers.len() {
+            self.few_pending_since.get_or_insert(now);
         }
     }
 
@@ -97,11 +114,13 @@
         if now >= self.recorded_at + MAX_PRIMARY_LEASE {
             return true;
         }
-        let pending = self.pending().count();
         let is_early = self.not_before.is_some_and(|at| now < at);
-        let is_few_pending = pending * MISSING_DIVISOR <= self.answers.len();
-        let is_base_expired = is_few_pending && now >= self.recorded_at + BASE_PRIMARY_LEASE;
-        !is_early && (pending == 0 || is_base_expired)
+        let is_base_expired = now >= self.recorded_at + BASE_PRIMARY_LEASE;
+        let is_unconfirmed = self
+            .few_pending_since
+            .is_some_and(|since| now >= since + PEER_CONFIRMATION_TTL);
+        let is_expired = is_base_expired && is_unconfirmed;
+        !is_early && (self.pending_count == 0 || is_expired)
     }
 
     /// Returns the instances that have not released the primary.
--- a/crates/coordination/tests/succession.rs
+++ b/crates/coordination/tests/succession.rs
@@ -11,7 +11,7 @@
 use check::runner;
 use filbertbay_coordination::succession::release::{Answer, Barrier};
 use filbertbay_coordination::succession::{
-    BASE_PRIMARY_LEASE, FailureDetector, MAX_PRIMARY_LEASE, PrimaryLease,
+    BASE_PRIMARY_LEASE, FailureDetector, MAX_PRIMARY_LEASE, PEER_CONFIRMATION_TTL, PrimaryLease,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -47,6 +47,31 @@
     /// Whether connections over the partition are refused.
     is_refusing: bool,
     moved: usize,
+    late: LateRelease,
+}
+
+/// Instances that confirm each other behind a partition from before a change until late in it, and
+/// release the primary when the partition ends, except for a few that stay cut off.
+#[derive(Clone, Debug)]
+struct LateRelease {
+    /// The last so many instances are behind the partition.
+    cut_off: usize,
+    /// The last so many of them stay cut off.
+    missing: usize,
+    /// Steps from the start of the partition to the change, and from there to its end.
+    before: usize,
+    after: usize,
+}
+
+impl Arbitrary for LateRelease {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            cut_off: INSTANCES - 1 - usize::arbitrary(g) % 3,
+            missing: 1 + usize::arbitrary(g) % 2,
+            before: usize::arbitrary(g) % 40,
+            after: usize::arbitrary(g) % 80,
+        }
+    }
 }
 
 fn span(g: &mut Gen, frequency: u8) -> (usize, usize) {
@@ -84,11 +109,35 @@
             near,
             is_refusing: bool::arbitrary(g),
             moved,
+            late: LateRelease::arbitrary(g),
         }
     }
 }
 
 impl History {
+    /// Returns the history with its partition replaced by one that ends in late releases.
+    fn with_late_releases(&self) -> Self {
+        let late = &self.late;
+        let mut history = self.clone();
+        for instance in 0..INSTANCES {
+            let is_cut_off = instance >= INSTANCES - late.cut_off;
+            let is_missing = instance >= INSTANCES - late.missing;
+            let end = if is_missing {
+                STEPS
+            } else {
+                self.moved + late.after
+            };
+            let cut = (self.moved - late.before, end);
+            let cut = if is_cut_off { cut } else { (0, 0) };
+            history.near[instance] = !is_cut_off;
+            (
+                history.faults[instance].store,
+                history.faults[instance].side,
+            ) = (cut, cut);
+        }
+        history
+    }
+
     fn contains(span: (usize, usize), step: usize) -> bool {
         (span.0..span.1).contains(&step)
     }
@@ -174,7 +223,7 @@
         for instance in 0..INSTANCES {
             let answer = history.answer(0, instance, step);
             knows_change[instance] |= answer == Answer::Released;
-            barrier.record(&names[instance], answer);
+            barrier.record(now, &names[instance], answer);
         }
         if barrier.is_complete(now) {
             let can_use = |instance: &usize| {
@@ -193,7 +242,7 @@
 fn no_instance_uses_the_old_primary_after_a_promotion() {
     #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
     fn property(history: History) -> bool {
-        is_safe(&history)
+        is_safe(&history) && is_safe(&history.with_late_releases())
     }
     runner(60).quickcheck(property as fn(History) -> bool);
 }
@@ -223,26 +272,49 @@
     names
         .iter()
         .take(5)
-        .for_each(|name| barrier.record(name, Answer::Released));
+        .for_each(|name| barrier.record(start, name, Answer::Released));
     assert!(!barrier.is_complete(start + BASE_PRIMARY_LEASE));
-    barrier.record(&names[5], Answer::Released);
+    barrier.record(start, &names[5], Answer::Released);
     assert!(!barrier.is_complete(start + BASE_PRIMARY_LEASE.saturating_sub(STEP)));
     assert!(barrier.is_complete(start + BASE_PRIMARY_LEASE));
     let delayed = Barrier::new(start, []).not_before(start + STEP);
     assert!(!delayed.is_complete(start) && delayed.is_complete(start + STEP));
 }
 
+/// Guards against a lease that outlives the change: confirmed by instances right before they released
+/// the primary, after the base time of the record.
+#[test]
+fn a_confirmation_from_before_a_late_release_is_waited_for() {
+    let start = Instant::now();
+    let names: Vec<Arc<str>> = (0..4)
+        .map(|instance| format!("i-{instance}").into())
+        .collect();
+    let mut lease = PrimaryLease::default();
+    lease.set_listed(true);
+    lease.record_contact(start);
+    let mut barrier = Barrier::new(start, names.iter().cloned());
+    let released_at = start + BASE_PRIMARY_LEASE + STEP;
+    lease.record_peer_confirmation(released_at);
+    for name in &names[..3] {
+        barrier.record(released_at, name, Answer::Released);
+    }
+    assert!(lease.is_valid(released_at) && !barrier.is_complete(released_at));
+    let end = released_at + PEER_CONFIRMATION_TTL;
+    assert!(lease.is_valid(end.checked_sub(STEP).unwrap()));
+    assert!(!lease.is_valid(end) && barrier.is_complete(end));
+}
+
 /// Guards against reads of a former primary by an instance behind a partition that resets
 /// connections: a refusal counted as a release, so that the change didn't wait for its lease.
 #[test]
 fn a_refused_connection_is_no_release() {
     let start = Instant::now();
     let mut barrier = Barrier::new(start, ["i-0".into(), "i-1".into()]);
-    barrier.record("i-0", Answer::Released);
-    barrier.record("i-1", Answer::Refused);
+    barrier.record(start, "i-0", Answer::Released);
+    barrier.record(start, "i-1", Answer::Refused);
     assert!(!barrier.is_complete(start + BASE_PRIMARY_LEASE.saturating_sub(STEP)));
-    barrier.record("i-1", Answer::Released);
-    barrier.record("i-1", Answer::Refused);
+    barrier.record(start, "i-1", Answer::Released);
+    barrier.record(start, "i-1", Answer::Refused);
     assert!(barrier.is_complete(start), "a release is not taken back");
 }
 
--- a/crates/entry/src/succession/release.rs
+++ b/crates/entry/src/succession/release.rs
@@ -34,10 +34,10 @@
                 self.request_release(peer, *name == own, service, release_record)
             });
             let answered = join_all(requests).await;
+            let now = self.instance.now();
             for (name, answer) in pending.iter().zip(answered) {
-                barrier.record(name, answer);
+                barrier.record(now, name, answer);
             }
-            let now = self.instance.now();
             if barrier.is_complete(now) {
                 self.log_release(service, release_record.revision, &barrier, now - started_at);
                 return Ok(());
