Bring nothing back from the listing of an instance that is behind

What callers could see: statements sent to an endpoint that had left, or past a removed evacuation, by an instance that could not reach the store. It asks two others at the same time; if the one that is behind was applied last, what had been removed in between was there again. The next watch doesn't report the removal again, so it stayed until the next full listing.

Cause: an item of a listing was ignored only if a newer one of its key was known, and a removed key is not known.

Change: an item of a revision up to which this instance knows all changes is ignored; what it lacks of that age is gone. Records that were sent ahead of the peer's view still arrive.

Evidence: platform/view::a_listing_of_a_peer_that_is_behind_brings_nothing_back failed before ("assertion failed: view.is_gone("i-1")") and passes; the file passes.

--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -183,8 +183,8 @@
         changes
     }
 
-    /// Applies events up to a revision and returns the changes; events older than a known item are
-    /// ignored.
+    /// Applies events up to a revision and returns the changes; events of revisions up to which all
+    /// changes are known and events older than a known item are ignored.
     pub fn apply_events(
         &mut self,
         now: Instant,
@@ -195,6 +195,8 @@
         let mut changes = Vec::new();
         for event in events {
             match event {
+                // Replaced or removed since, so the sender is behind this instance.
+                Event::Put(item) if item.revision <= self.revision => {}
                 Event::Put(item) => self.put(now, item, dialect, &mut changes),
                 Event::Removed(key, revision) => {
                     let known = self.items.get(&key).map(|item| item.revision);
