Remember a process that was replaced at another address as a possible lease holder

What callers could see: stale reads of a primary route.

Cause: entries were kept by name alone. When a process starts at another address under the name of one that is cut off but still runs, the new entry took the place of the old one, and a change of primary neither asked the old process nor waited for its lease.

Change: view::Roster holds listed and former entries. Whether the instance asks itself is told by the address and not by the name.

--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -131,7 +131,7 @@
     let own = Arc::clone(&instance.settings().name);
     let (peers, since) = {
         let view = instance.view.borrow();
-        let mut peers = view.possible_lease_holders();
+        let mut peers = view.roster.possible_lease_holders([]);
         peers.remove(&own);
         (peers, view.era_since())
     };
--- a/crates/entry/src/succession/release.rs
+++ b/crates/entry/src/succession/release.rs
@@ -26,13 +26,11 @@
         let names = lease_holders.keys().cloned();
         let all_known_at = self.instance.clock.started_at() + BASE_PRIMARY_LEASE;
         let mut barrier = Barrier::new(started_at, names).not_before(all_known_at);
-        let own = Arc::clone(&self.instance.settings().name);
         loop {
             let pending: Vec<Arc<str>> = barrier.pending().cloned().collect();
-            let requests = pending.iter().map(|name| {
-                let peer = &lease_holders[name];
-                self.request_release(peer, *name == own, service, release_record)
-            });
+            let requests = pending
+                .iter()
+                .map(|name| self.request_release(&lease_holders[name], service, release_record));
             let answered = join_all(requests).await;
             for (name, answer) in pending.iter().zip(answered) {
                 barrier.record(name, answer);
@@ -73,26 +71,23 @@
     async fn lease_holders(&self) -> Result<BTreeMap<Arc<str>, InstanceEntry>, &'static str> {
         let listing = self.instance.drivers.store.list(INSTANCE_PREFIX).await;
         let listing = listing.map_err(|_| "the store did not list the instances")?;
-        let mut all = self.instance.view.borrow().possible_lease_holders();
-        for item in listing.items {
-            let name = item.key.strip_prefix(INSTANCE_PREFIX);
-            let peer = serde_json::from_slice(&item.value).ok();
-            if let (Some(name), Some(peer)) = (name, peer) {
-                all.insert(name.into(), peer);
-            }
-        }
-        Ok(all)
+        let listed = listing.items.into_iter().filter_map(|item| {
+            let name = item.key.strip_prefix(INSTANCE_PREFIX)?;
+            let entry = serde_json::from_slice(&item.value).ok()?;
+            Some((Arc::from(name), entry))
+        });
+        let view = self.instance.view.borrow();
+        Ok(view.roster.possible_lease_holders(listed))
     }
 
     /// Asks an instance to release the previous primary.
     async fn request_release(
         &self,
         peer: &InstanceEntry,
-        is_self: bool,
         service: &Arc<str>,
         release_record: &Item,
     ) -> Answer {
-        let is_released = if is_self {
+        let is_released = if peer.address == self.instance.settings().peers {
             Ok(wait_until_released(&self.instance, service, release_record.revision).await)
         } else {
             let (service, record) = (Arc::clone(service), release_record.clone());
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -6,15 +6,17 @@
 //! the copy may not take back.
 
 mod remembered;
+mod roster;
+
+pub use self::roster::{InstanceEntry, Roster};
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::share::Allocation;
-use filbertbay_coordination::succession::{MAX_PRIMARY_LEASE, Phase, PrimaryLease, PrimaryRecord};
+use filbertbay_coordination::succession::{Phase, PrimaryLease, PrimaryRecord};
 use filbertbay_coordination::usage::Record;
 use filbertbay_state::status::Role;
 use serde::{Deserialize, Serialize};
@@ -55,21 +57,6 @@
 /// store was unavailable are written again about two seconds after its return.
 const GONE_ENDPOINT_RETENTION: Duration = Duration::from_millis(2_300);
 
-/// Stored entry of an instance.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct InstanceEntry {
-    /// Address for calls from other instances.
-    pub address: SocketAddr,
-    /// Data centre of the instance.
-    pub data_centre: Arc<str>,
-    /// Incarnation, which grows with each start.
-    pub incarnation: u64,
-    /// Processor time of the instance in thousandths of a core; zero if it is of an earlier version,
-    /// which takes no statements of others.
-    #[serde(default)]
-    pub weight: u32,
-}
-
 /// Stored value of a lock, which names the instance that holds it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct LockHolder {
@@ -139,8 +126,8 @@
     endpoints: BTreeMap<Arc<str>, EndpointEntry>,
     evacuated: BTreeSet<Arc<str>>,
     primary_records: BTreeMap<Arc<str>, VersionedRecord>,
-    instances: BTreeMap<Arc<str>, InstanceEntry>,
-    removed_instances: BTreeMap<Arc<str>, (InstanceEntry, Instant)>,
+    /// Instances, listed and former.
+    pub roster: Roster,
     /// Holder of each lock with the revision of its entry, by key.
     lock_holders: BTreeMap<Arc<str>, (LockHolder, u64)>,
     usage_record: Option<Rc<Record>>,
@@ -232,7 +219,7 @@
                 self.evacuated.insert(Arc::clone(&data_centre));
                 Ok(Some(Change::Evacuation(data_centre)))
             }
-            KeyKind::Other => self.put_instance_key(&item),
+            KeyKind::Other => self.put_instance_key(now, &item),
         };
         match change {
             Ok(change) => changes.extend(change),
@@ -295,7 +282,7 @@
     }
 
     /// Decodes and stores a value that instances write.
-    fn put_instance_key(&mut self, item: &Item) -> Result<Option<Change>, String> {
+    fn put_instance_key(&mut self, now: Instant, item: &Item) -> Result<Option<Change>, String> {
         let unreadable = |error: serde_json::Error| error.to_string();
         let key = item.key.as_ref();
         if let Some(service) = key.strip_prefix(PRIMARY_RECORD_PREFIX) {
@@ -312,9 +299,8 @@
         }
         if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
             let name: Arc<str> = name.into();
-            let peer = serde_json::from_slice(&item.value).map_err(unreadable)?;
-            self.instances.insert(Arc::clone(&name), peer);
-            self.removed_instances.remove(&name);
+            let entry = serde_json::from_slice(&item.value).map_err(unreadable)?;
+            self.roster.put(now, &name, entry);
             return Ok(Some(Change::Instance(name)));
         }
         if let Some(change) = lock_change(key) {
@@ -375,10 +361,7 @@
             changes.push(Change::PrimaryRecord(service.into()));
         } else if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
             let name: Arc<str> = name.into();
-            if let Some(peer) = self.instances.remove(&name) {
-                self.removed_instances
-                    .insert(Arc::clone(&name), (peer, now));
-            }
+            self.roster.remove(now, &name);
             changes.push(Change::Instance(name));
         } else if let Some(change) = lock_change(key) {
             self.lock_holders.remove(key);
@@ -397,8 +380,7 @@
     ///
     /// While the store is unreachable (`is_connected` is false), the last known endpoints stay.
     pub fn expire(&mut self, now: Instant, is_connected: bool) -> Vec<Arc<str>> {
-        self.removed_instances
-            .retain(|_, (_, since)| now < *since + MAX_PRIMARY_LEASE);
+        self.roster.expire(now);
         if !is_connected {
             self.remembered.extend_evacuations(now);
             return Vec::new();
@@ -517,18 +499,7 @@
 
     /// Returns the instances that the store lists.
     pub fn peers(&self) -> &BTreeMap<Arc<str>, InstanceEntry> {
-        &self.instances
-    }
-
-    /// Returns the instances whose primary lease may still be valid: those listed, and those removed
-    /// less than [`MAX_PRIMARY_LEASE`] ago.
-    pub fn possible_lease_holders(&self) -> BTreeMap<Arc<str>, InstanceEntry> {
-        let removed_instances = self.removed_instances.iter();
-        let removed_instances =
-            removed_instances.map(|(name, (peer, _))| (Arc::clone(name), peer.clone()));
-        let mut all: BTreeMap<Arc<str>, InstanceEntry> = removed_instances.collect();
-        all.extend(self.instances.clone());
-        all
+        self.roster.listed()
     }
 
     /// Returns the holder of the lock with the key and the revision of the entry.
