--- a/crates/entry/src/succession/release.rs
+++ b/crates/entry/src/succession/release.rs
@@ -28,9 +28,9 @@
         let mut barrier = Barrier::new(started_at, names).not_before(all_known_at);
         loop {
             let pending: Vec<Arc<str>> = barrier.pending().cloned().collect();
-            let requests = pending
-                .iter()
-                .map(|name| self.request_release(&lease_holders[name], service, release_record));
+            let requests = pending.iter().map(|name| {
+                self.request_release(name, &lease_holders[name], service, release_record)
+            });
             let answered = join_all(requests).await;
             for (name, answer) in pending.iter().zip(answered) {
                 barrier.record(name, answer);
@@ -83,11 +83,14 @@
     /// Asks an instance to release the previous primary.
     async fn request_release(
         &self,
+        name: &str,
         peer: &InstanceEntry,
         service: &Arc<str>,
         release_record: &Item,
     ) -> Answer {
-        let is_released = if peer.address == self.instance.settings().peers {
+        let is_self = *self.instance.settings().name == *name
+            && peer.incarnation == self.instance.incarnation;
+        let is_released = if is_self {
             Ok(wait_until_released(&self.instance, service, release_record.revision).await)
         } else {
             let (service, record) = (Arc::clone(service), release_record.clone());
