Count a refused connection as no answer before an era is confirmed

What callers could see: stale reads or lost commits after the store returned from a copy.

Cause: the instance that confirms an era asks all others which records they remember, and counted a refused connection as an answer. Behind a partition that resets connections an instance remembers all the same.

Change: it counts as unheard. With over a quarter unheard the confirmation waits for the end of all leases, 10 s, as it did for silent ones. That is the price after many processes were killed at once beside a return of the store.

--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -21,7 +21,6 @@
 
 use crate::endpoint::Endpoint;
 use crate::instance::Instance;
-use crate::peer::CallError;
 use crate::store::{ConditionalWrite, Item, WriteOutcome, era_of, number_of, revision_in};
 use crate::succession::{Answer, status};
 use crate::task;
@@ -149,9 +148,8 @@
                 Ok(items) => items
                     .into_iter()
                     .for_each(|item| instance.remember(&item.key, item.value)),
-                Err(CallError::Unanswered) => missing += 1,
-                // No process runs there that could remember anything.
-                Err(CallError::Refused) => {}
+                // A refused connection doesn't prove that no process remembers anything there.
+                Err(_) => missing += 1,
             }
         }
     }
