State in the entry of an instance that it has stopped before the entry is removed

What callers would see: after a rolling restart, a service without a primary for 4 s in a change of primary. A removed entry doesn't tell a stopped process from one whose lease in the store ended while it is cut off, and since a refused connection is no release, a change waits for its primary lease.

Change: at the end of a shutdown without open sessions the instance ends its primary lease for good, writes is_stopped into its entry under the lease of the entry, and removes the entry then: one store call more a shutdown. A stopped entry is nobody's lease. With sessions cut at the exit the entry is removed as before.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -84,6 +84,7 @@
     last_contact: Option<Instant>,
     last_peer_confirmation: Option<Instant>,
     is_listed: bool,
+    is_ended: bool,
 }
 
 impl PrimaryLease {
@@ -114,9 +115,15 @@
         self.is_listed = is_listed;
     }
 
+    /// Ends the lease for good, for a process that is about to exit.
+    pub fn end(&mut self) {
+        self.is_ended = true;
+    }
+
     /// Returns true if primaries may be used at `now`.
     pub fn is_valid(&self, now: Instant) -> bool {
-        let Some(last_contact) = self.last_contact.filter(|_| self.is_listed) else {
+        let is_listed = self.is_listed && !self.is_ended;
+        let Some(last_contact) = self.last_contact.filter(|_| is_listed) else {
             return false;
         };
         let is_peer_confirmed = self
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -232,10 +232,13 @@
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
     let open_sessions = session_count(session_tokens);
+    let is_idle = !is_in_use();
     let unanswered = instance.unanswered_statements.get();
     let withdrawal = async {
         usage::finish(instance).await;
-        watcher::withdraw(instance).await;
+        if let Err(error) = watcher::withdraw(instance, is_idle).await {
+            info!(instance.log, "entry of this instance not removed"; "error" => %error);
+        }
     };
     let withdrawn = tokio::time::timeout(schedule.exit_time(), withdrawal).await;
     info!(instance.log, "stopped"; "sessions_cut" => open_sessions, "statements_cut" => unanswered,
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -22,7 +22,7 @@
 use crate::pool::{EndpointPool, Pool};
 use crate::quota::Quota;
 use crate::settings::Settings;
-use crate::store::{Dialect, Event, Failover, Item, Listing, Metering, Store};
+use crate::store::{Dialect, Event, Failover, Item, Lease, Listing, Metering, Store};
 use crate::trace::Trace;
 use crate::usage::Usage;
 use crate::view::{Change, PROMOTION_LOCK_KEY, USAGE_LOCK_KEY, View};
@@ -121,6 +121,8 @@
     pub watermarks: Watermarks,
     /// Counts of the statements that are sent to endpoints.
     pub usage: Usage,
+    /// Lease of this instance's entry in the store, while it has one.
+    pub entry_lease: Cell<Option<Lease>>,
     /// What has been logged about the use of primaries.
     pub trace: Trace,
     /// Logger.
@@ -155,6 +157,7 @@
             forwards: Forwards::default(),
             quota,
             usage: Usage::new(&settings, clock),
+            entry_lease: Cell::default(),
             trace: Trace::default(),
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/entry/src/view/roster.rs
+++ b/crates/entry/src/view/roster.rs
@@ -21,6 +21,9 @@
     /// which takes no statements of others.
     #[serde(default)]
     pub weight: u32,
+    /// Whether the process uses no primary any more and is about to exit.
+    #[serde(default)]
+    pub is_stopped: bool,
 }
 
 /// Instances by name, with the former ones whose primary lease may still be valid.
@@ -42,7 +45,9 @@
         }
         self.former
             .retain(|(other, former, _)| other != name || former.address != entry.address);
-        self.listed.insert(Arc::clone(name), entry);
+        if !entry.is_stopped {
+            self.listed.insert(Arc::clone(name), entry);
+        }
     }
 
     /// Removes the entry of an instance, whose process may still run.
@@ -74,11 +79,12 @@
         let former = self.former.iter();
         let former = former.map(|(name, entry, _)| (Arc::clone(name), entry.clone()));
         let listed = self.listed.clone().into_iter();
-        let by_address: BTreeMap<(Arc<str>, SocketAddr), InstanceEntry> = former
+        let mut by_address: BTreeMap<(Arc<str>, SocketAddr), InstanceEntry> = former
             .chain(listed)
             .chain(listing)
             .map(|(name, entry)| ((name, entry.address), entry))
             .collect();
+        by_address.retain(|_, entry| !entry.is_stopped);
         let mut holders = BTreeMap::new();
         for ((name, address), entry) in by_address {
             let is_listed = self
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -378,7 +378,10 @@
 async fn register(instance: Rc<Instance>) {
     loop {
         match write_entry(&instance).await {
-            Ok(Some(lease)) => renew_entry(&instance, lease).await,
+            Ok(Some(lease)) => {
+                instance.entry_lease.set(Some(lease));
+                renew_entry(&instance, lease).await;
+            }
             Ok(None) => {}
             Err(error) => {
                 info!(instance.log, "entry of this instance not written"; "error" => %error);
@@ -395,20 +398,11 @@
 async fn write_entry(instance: &Rc<Instance>) -> Result<Option<Lease>, Error> {
     let store = &instance.drivers.store;
     let lease = store.open_lease(ENTRY_TTL).await?;
-    let settings = instance.settings();
-    let peer = InstanceEntry {
-        address: settings.peers,
-        data_centre: Arc::clone(&settings.data_centre),
-        incarnation: instance.incarnation,
-        weight: settings.weight(),
-    };
-    let value = serde_json::to_vec(&peer)
-        .map_err(|error| Error::new(ErrorKind::Refused, "swap", error.to_string()))?;
-    let key = format!("{INSTANCE_PREFIX}{}", settings.name);
+    let (key, value) = own_entry(instance, false)?;
     let change = ConditionalWrite {
         key: &key,
         expected: None,
-        value: Some(Bytes::from(value)),
+        value: Some(value),
         lease: Some(lease),
     };
     match store.swap(change).await? {
@@ -479,22 +473,58 @@
     }
 }
 
+/// Returns the key and the value of the entry of this instance.
+fn own_entry(instance: &Instance, is_stopped: bool) -> Result<(String, Bytes), Error> {
+    let settings = instance.settings();
+    let entry = InstanceEntry {
+        address: settings.peers,
+        data_centre: Arc::clone(&settings.data_centre),
+        incarnation: instance.incarnation,
+        weight: settings.weight(),
+        is_stopped,
+    };
+    let value = serde_json::to_vec(&entry)
+        .map_err(|error| Error::new(ErrorKind::Refused, "swap", error.to_string()))?;
+    let key = format!("{INSTANCE_PREFIX}{}", settings.name);
+    Ok((key, Bytes::from(value)))
+}
+
 /// Removes the entry of this instance, so that other instances need not wait for its lease to expire.
-pub async fn withdraw(instance: &Rc<Instance>) {
-    let key = format!("{INSTANCE_PREFIX}{}", instance.settings().name);
-    let revision = {
+///
+/// A removal alone doesn't tell a stopped process from one whose lease has ended while it is cut off.
+/// If no session or forwarded transaction is left (`is_idle`), the entry therefore states first that
+/// this process has stopped, after which it uses no primary.
+///
+/// # Errors
+///
+/// Returns an error if a call to the store failed.
+pub async fn withdraw(instance: &Rc<Instance>, is_idle: bool) -> Result<(), Error> {
+    let (key, value) = own_entry(instance, true)?;
+    let mut expected = {
         let view = instance.view.borrow();
         view.item(&key).map(|item| item.revision)
     };
+    if is_idle && let Some(lease) = instance.entry_lease.get() {
+        instance.view.borrow_mut().primary_lease.end();
+        let change = ConditionalWrite {
+            key: &key,
+            expected,
+            value: Some(value),
+            lease: Some(lease),
+        };
+        match instance.drivers.store.swap(change).await? {
+            WriteOutcome::Done(revision) => expected = Some(revision),
+            WriteOutcome::Conflict => return Ok(()),
+        }
+    }
     let change = ConditionalWrite {
         key: &key,
-        expected: revision,
+        expected,
         value: None,
         lease: None,
     };
-    if let Err(error) = instance.drivers.store.swap(change).await {
-        info!(instance.log, "entry of this instance not removed"; "error" => %error);
-    }
+    instance.drivers.store.swap(change).await?;
+    Ok(())
 }
 
 /// Periodically removes endpoints whose entries stayed removed, with their connection pools.
