Record a promoted member only once its own status proves the promotion

Callers could read and write at a member before its promotion was in effect: on the users' platform an order takes effect some hundred ms after it is accepted. A change of primary took the role in the entry of the store, or a status with the role of primary of any term, for the effect of its order. The entry may tell of an earlier time in which the member led, and a former primary states that it leads until it hears of its successor.

The successor is now recorded once its status states that it leads a term above all that members stated before the order (coordination::succession::promotion). The role in the store only tells when to ask: in the usual case that is one status query a promotion. The fallback query no longer starts its wait again with each change of the view. A status keeps the term of a demotion apart from the term that the member leads or follows, which a promotion exceeds.

The stand-ins now let a delay pass before a promotion takes effect. Before the change, with 600 ms: an_old_report_of_the_role_proves_no_promotion failed with 'recorded before it led', and a_former_primary_that_still_leads_its_term_is_not_taken_for_promoted with 'left: 1, right: 3'. Both pass, and so do succession (5) and release (1) of platform/tests.

--- a/crates/entry/src/endpoint.rs
+++ b/crates/entry/src/endpoint.rs
@@ -109,8 +109,10 @@
 pub struct Status {
     /// Role that the endpoint reports.
     pub role: Role,
-    /// Newest term that the endpoint knows.
+    /// Term that the endpoint leads or follows.
     pub term: Term,
+    /// Term of the last pause or demotion, which a further one must exceed.
+    pub fenced_term: Term,
     /// Last position that the endpoint received, applied or not.
     pub received: Position,
 }
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -8,6 +8,7 @@
 //! starts the change again.
 
 mod evidence;
+mod promotion;
 mod release;
 mod selection;
 
@@ -23,13 +24,11 @@
 use bytes::Bytes;
 use filbertbay_coordination::rendezvous;
 use filbertbay_coordination::succession::{Phase, PrimaryRecord};
-use filbertbay_state::status::Role;
 use slog::{info, warn};
 
-use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::lock::{self, Held, Lock};
-use crate::store::{ConditionalWrite, Error, ErrorKind, Item, Promotion, WriteOutcome};
+use crate::store::{ConditionalWrite, Error, ErrorKind, Item, WriteOutcome};
 use crate::task;
 use crate::view::{PRIMARY_RECORD_PREFIX, PROMOTION_LOCK_KEY};
 
@@ -51,12 +50,6 @@
 /// Interval between two rounds of requests to instances or members during a change.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Longest wait for a promoted member to become primary.
-const PROMOTION_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Longest wait for a promoted member to report its role before its status is queried.
-const ROLE_REPORT_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Lock on promotions. The holder keeps it for its time to live after its last change of primary, so that
 /// it does not alternate between instances.
 const PROMOTION_LOCK: lock::Terms = lock::Terms {
@@ -303,9 +296,11 @@
             let view = self.instance.view.borrow();
             view.endpoint(id).cloned()
         });
-        let last = self.demote(previous.as_ref(), reason).await;
-        let next = self.select_successor(service, from.as_ref(), last).await?;
-        self.promote(service, &next, lock).await?;
+        let demoted = self.demote(previous.as_ref(), reason).await;
+        let (next, baseline) = self
+            .select_successor(service, from.as_ref(), demoted)
+            .await?;
+        self.promote(service, &next, baseline, lock).await?;
         let record = PrimaryRecord {
             phase: Phase::Leading(Arc::clone(&next.id)),
             change: record.change + 1,
@@ -371,60 +366,6 @@
             }
         }
     }
-
-    /// Orders the promotion and waits until the member is primary.
-    async fn promote(
-        &self,
-        service: &str,
-        next: &Rc<Endpoint>,
-        lock: Held,
-    ) -> Result<(), &'static str> {
-        // Another change of this instance may have acquired the lock again, under a higher token.
-        let confirmed = self.promotion_lock.confirm(&self.instance).await;
-        if confirmed.is_none_or(|held| held.fence != lock.fence) {
-            return Err("the promotion lock was lost before the promotion");
-        }
-        let holder = Arc::clone(&self.instance.settings().name);
-        let failover = &self.instance.drivers.failover;
-        match failover
-            .promote(service, &next.id, &holder, lock.fence)
-            .await
-        {
-            Ok(Promotion::Accepted) => {}
-            Ok(Promotion::Absent) => return Err("the successor is not running"),
-            Err(error) => {
-                warn!(self.instance.log, "promotion not confirmed"; "error" => %error);
-                return Err("the platform did not confirm the promotion");
-            }
-        }
-        let deadline = self.instance.now() + PROMOTION_TIMEOUT;
-        let mut changed = self.instance.view_changed.subscribe();
-        while self.instance.now() < deadline {
-            let is_reported_primary = {
-                let view = self.instance.view.borrow();
-                let endpoint = view.endpoint(&next.id);
-                endpoint.is_some_and(|endpoint| endpoint.role == Role::Primary)
-            };
-            if is_reported_primary {
-                return Ok(());
-            }
-            if !self.renew_lock().await {
-                return Err("the promotion lock was lost before the successor became primary");
-            }
-            // The member reports its role through the store; a status query is the fallback.
-            if tokio::time::timeout(ROLE_REPORT_TIMEOUT, changed.changed())
-                .await
-                .is_err()
-                && status(&self.instance, next)
-                    .await
-                    .status()
-                    .is_some_and(|status| status.role == Role::Primary)
-            {
-                return Ok(());
-            }
-        }
-        Err("the successor did not become primary in time")
-    }
 }
 
 fn encode<T>(value: &T) -> Result<Bytes, Error>
--- a/crates/entry/src/succession/selection.rs
+++ b/crates/entry/src/succession/selection.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filbertbay_coordination::succession::promotion::Baseline;
 use filbertbay_coordination::succession::successor::{self, Candidate, Requirement};
-use filbertbay_state::position::Position;
+use filbertbay_state::position::{Position, Term};
+use filbertbay_state::status::Role;
 use futures::future::join_all;
 use slog::{debug, info, warn};
 
@@ -17,6 +19,15 @@
 /// member to state its status.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Previous primary that was asked to become a replica.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Demoted {
+    /// Term before that.
+    term: Term,
+    /// Last known position.
+    position: Position,
+}
+
 impl Coordinator {
     /// Returns whether a planned change of primary would lose no acknowledged commit: an available member
     /// has received what the primary has, or the primary does not answer. Always true for a service
@@ -66,20 +77,25 @@
         service.map_or(0, |service| service.synchronous_replicas)
     }
 
-    /// Demotes the previous primary to a replica if it answers, and returns its last known position.
+    /// Demotes the previous primary to a replica if it answers, and returns its term before that and its
+    /// last known position.
     pub(super) async fn demote(
         &self,
         previous: Option<&Rc<Endpoint>>,
         reason: Reason,
-    ) -> Option<Position> {
+    ) -> Option<Demoted> {
         let endpoint = previous?;
         let before = self.status_of_previous(endpoint, reason).await?;
-        let request = Request::internal(RequestKind::Demote(before.term.next()));
+        let term = before.term.max(before.fenced_term).next();
+        let request = Request::internal(RequestKind::Demote(term));
         let after = query(&self.instance, endpoint, &request).await.status();
         info!(self.instance.log, "former primary demoted"; "endpoint" => endpoint.id.as_ref(),
             "term" => before.term.0, "answered" => after.is_some(),
             "position" => after.map(|status| status.received.to_string()));
-        Some(after.unwrap_or(before).received)
+        Some(Demoted {
+            term: before.term,
+            position: after.unwrap_or(before).received,
+        })
     }
 
     /// Returns the status of the previous primary. Asks again while it is busy, and once more if it is
@@ -99,14 +115,15 @@
         }
     }
 
-    /// Returns the successor among the members that answer. `from` is the previous primary, and
-    /// `previous_position` its last known position. Asks again for at most [`CATCH_UP_TIMEOUT`].
+    /// Returns the successor among the members that answer, and what they stated. `from` is the previous
+    /// primary, and `demoted` what it stated. Asks again for at most [`CATCH_UP_TIMEOUT`].
     pub(super) async fn select_successor(
         &self,
         service: &str,
         from: Option<&Arc<str>>,
-        previous_position: Option<Position>,
-    ) -> Result<Rc<Endpoint>, &'static str> {
+        demoted: Option<Demoted>,
+    ) -> Result<(Rc<Endpoint>, Baseline), &'static str> {
+        let previous_position = demoted.map(|demoted| demoted.position);
         let deadline = self.instance.now() + CATCH_UP_TIMEOUT;
         loop {
             let members: Vec<Rc<Endpoint>> = {
@@ -130,7 +147,9 @@
                         "candidates" => candidates.len(), "members" => requirement.members,
                         "answers" => describe(&members, &answers));
                     let found = members.iter().find(|member| member.id == best.id);
-                    return found.cloned().ok_or("the successor is no longer listed");
+                    let found = found.cloned().ok_or("the successor is no longer listed")?;
+                    let answers = members.iter().zip(&answers);
+                    return Ok((Rc::clone(&found), baseline(answers, &found, from, demoted)));
                 }
                 Err(shortfall) if is_last_round => {
                     warn!(self.instance.log, "no successor chosen"; "service" => service,
@@ -192,6 +211,40 @@
     }
 }
 
+/// Returns what the members stated before the order to promote `successor`.
+fn baseline<'a, I>(
+    answers: I,
+    successor: &Endpoint,
+    from: Option<&Arc<str>>,
+    demoted: Option<Demoted>,
+) -> Baseline
+where
+    I: Iterator<Item = (&'a Rc<Endpoint>, &'a Answer)>,
+{
+    let mut baseline = Baseline::default();
+    if let Some(demoted) = demoted {
+        baseline.record_term(demoted.term);
+    }
+    for (member, answer) in answers {
+        if let Answer::Status(status) = answer
+            && status.role == Role::Primary
+            && member.id == successor.id
+        {
+            baseline.record_leading_successor();
+        }
+        // A demoted member may state the term of its demotion, which a promotion need not exceed.
+        if demoted.is_some() && Some(&member.id) == from {
+            continue;
+        }
+        match answer {
+            Answer::Status(status) => baseline.record_term(status.term),
+            Answer::Busy(Some(position)) => baseline.record_term(position.term),
+            Answer::Busy(None) | Answer::Silent => {}
+        }
+    }
+    baseline
+}
+
 /// Describes the members' answers for the log.
 fn describe(members: &[Rc<Endpoint>], answers: &[Answer]) -> String {
     let described = members.iter().zip(answers).map(|(member, answer)| {
