Check the primary lease at each statement of a transaction and before success is told

A caller could be told of the success of a commit or write at a primary that others had replaced. The statements of an open transaction looked only at the record of the primary, not at the lease: an instance that had lost the store went on sending them after its lease had ended, when a change of primary no longer waits for it. A write that was sent in time but answered after the end of the lease was told as a success as well.

Each request is now preceded by the check of lease and record, also after the requests that restore session values or begin a transaction (entry::primary, execution). A statement that is not sent aborts its transaction, which the caller may repeat. The success of a lone write, or of any statement of a transaction, is told only if the lease of the moment of sending is still valid, or the same record is in force under a renewed one; otherwise the outcome is unknown. Instances that send for others check the same on their own view. Reads stay as they were: a read that was sent under a valid lease lacks no commit that was acknowledged before it.

--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -18,6 +18,7 @@
 use crate::pool::{
     AcquireError, Demand, EndpointPool, InFlightGuard, PooledConnection, SessionState,
 };
+use crate::primary::{PrimaryRef, PrimaryUse};
 
 /// Longest wait for the reply to a rollback, after which the connection is closed.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -60,39 +61,6 @@
     }
 }
 
-/// Primary of a service, with the revision of the stored record that names it.
-#[derive(Clone, Debug)]
-pub struct PrimaryRef {
-    /// Service of the primary.
-    pub service: Arc<str>,
-    /// Endpoint that is the primary.
-    pub endpoint: Arc<str>,
-    /// Revision of the record; zero if there is none.
-    pub revision: u64,
-}
-
-impl PrimaryRef {
-    /// Records the position that the endpoint reported, if the same record still names it primary.
-    pub fn record_position(&self, instance: &Instance, sent_at: Instant, position: Position) {
-        instance.record_position(
-            &self.service,
-            &self.endpoint,
-            self.revision,
-            sent_at,
-            position,
-        );
-    }
-
-    /// Returns whether the instance may use this primary: its primary lease is valid and the same
-    /// record still names it.
-    pub fn is_current(&self, instance: &Instance) -> bool {
-        let primary = instance.primary(&self.service);
-        let view = instance.view.borrow();
-        primary.as_ref() == Some(&self.endpoint)
-            && view.record_revision(&self.service) == self.revision
-    }
-}
-
 /// Statement outside a transaction, or the first of one, with all that its endpoint needs.
 #[derive(Clone, Debug)]
 pub struct Execution<'a> {
@@ -165,6 +133,9 @@
     /// run.
     #[strum(to_string = "the transaction was rolled back at the egress instance")]
     LeaseEnded,
+    /// The instance may not use the primary any more, so the statement was not sent.
+    #[strum(to_string = "the primary is not known for certain")]
+    PrimaryUncertain,
 }
 
 impl Problem {
@@ -172,6 +143,11 @@
     pub fn is_endpoint_failure(self) -> bool {
         matches!(self, Self::ConnectionBroke | Self::NoAnswer)
     }
+
+    /// Returns whether the statement certainly did not run.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, Self::LeaseEnded | Self::PrimaryUncertain)
+    }
 }
 
 /// Runs a statement on an endpoint.
@@ -221,7 +197,7 @@
         }
     };
     let primary_ref = execution.primary_ref;
-    let primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+    let primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
     // The primary may have changed during the wait for a connection.
     if primary_ref.is_some_and(|primary| !primary.is_current(instance)) {
         connection.release();
@@ -232,7 +208,13 @@
             .trace
             .record_use(instance, primary, execution.work.id);
     }
-    let reply = exchange_before(instance, endpoint_pool, execution, &mut connection).await?;
+    let exchanged = exchange_before(instance, endpoint_pool, execution, &mut connection);
+    let reply = exchanged.await?;
+    let may_commit = execution.work.access == Access::Write && execution.begin.is_none();
+    if may_commit && reply.result.is_ok() && !is_covered(instance, primary_use.as_ref()) {
+        connection.release();
+        return Err(AttemptError::OutcomeUnknown(Problem::PrimaryChanging));
+    }
     drop(primary_use);
     match &reply.result {
         Ok(_) => Ok(Executed { reply, connection }),
@@ -248,6 +230,15 @@
     }
 }
 
+/// Returns whether a statement may be sent as far as its primary is concerned.
+fn may_use(instance: &Instance, primary_ref: Option<&PrimaryRef>) -> bool {
+    primary_ref.is_none_or(|primary| primary.is_current(instance))
+}
+
+fn is_covered(instance: &Instance, primary_use: Option<&PrimaryUse>) -> bool {
+    primary_use.is_none_or(|primary_use| primary_use.is_covered(instance))
+}
+
 /// Waits until the instance may not use the primary any more; forever without one.
 async fn wait_until_replaced(instance: &Instance, primary_ref: Option<&PrimaryRef>) {
     let Some(primary_ref) = primary_ref else {
@@ -265,7 +256,8 @@
 ///
 /// # Errors
 ///
-/// Returns the cause if no answer came before `deadline`; the connection must then be dropped.
+/// Returns the cause if no answer came before `deadline`, or if the outcome of a commit would be
+/// unknown because the instance may not use the primary any more. The connection must then be dropped.
 pub async fn execute_next(
     instance: &Rc<Instance>,
     connection: &mut PooledConnection,
@@ -276,7 +268,10 @@
     let endpoint_pool = Rc::clone(connection.endpoint_pool());
     let mut aborts = endpoint_pool.subscribe_aborts();
     let _in_flight = InFlightGuard::new(&endpoint_pool);
-    let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+    let primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
+    if !may_use(instance, primary_ref) {
+        return Err(Problem::PrimaryUncertain);
+    }
     if let Some(primary) = primary_ref {
         instance.trace.record_use(instance, primary, work.id);
     }
@@ -284,7 +279,11 @@
     let limit = deadline.saturating_duration_since(sent_at);
     let running = async {
         let name = connection.apply_session_state(work.state()).await?;
-        connection.run(&work.request(name.as_deref(), None)).await
+        if !may_use(instance, primary_ref) {
+            return Ok(None);
+        }
+        let request = work.request(name.as_deref(), None);
+        connection.run(&request).await.map(Some)
     };
     let outcome = tokio::select! {
         outcome = tokio::time::timeout(limit, running) => outcome,
@@ -292,9 +291,13 @@
     };
     let now = instance.now();
     match outcome {
-        Ok(Ok(reply)) => {
+        Ok(Ok(None)) => Err(Problem::PrimaryUncertain),
+        Ok(Ok(Some(reply))) => {
             endpoint_pool.record_answer(now);
             endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
+            if reply.result.is_ok() && !is_covered(instance, primary_use.as_ref()) {
+                return Err(Problem::PrimaryChanging);
+            }
             if let (Some(primary), Some(position)) = (primary_ref, reply.position) {
                 primary.record_position(instance, sent_at, position);
             }
@@ -338,7 +341,7 @@
     let sent_at = instance.now();
     let counted = instance.usage.count(sent_at, execution.workspace);
     let limit = execution.deadline.saturating_duration_since(sent_at);
-    let running = exchange(execution, connection);
+    let running = exchange(instance, execution, connection);
     let unknown = |problem| Err(AttemptError::OutcomeUnknown(problem));
     let outcome = tokio::select! {
         outcome = tokio::time::timeout(limit, running) => outcome,
@@ -347,12 +350,16 @@
     let now = instance.now();
     let reply = match outcome {
         Ok(Ok(reply)) => reply,
-        Ok(Err(ConnectionLost::BeforeSend)) => {
+        Ok(Err(Interruption::PrimaryUncertain)) => {
+            instance.usage.retract(&counted);
+            return Err(AttemptError::NotRun(Code::Busy));
+        }
+        Ok(Err(Interruption::BeforeSend)) => {
             instance.usage.retract(&counted);
             endpoint_pool.record_failure(now);
             return Err(AttemptError::NotRun(Code::Busy));
         }
-        Ok(Err(ConnectionLost::AfterSend)) => {
+        Ok(Err(Interruption::AfterSend)) => {
             // An endpoint that goes down has begun only the few statements in its slots.
             instance.usage.retract(&counted);
             endpoint_pool.record_failure(now);
@@ -390,20 +397,24 @@
 
 /// Sends the statement, preceded by `BEGIN` if it is the first of a transaction.
 async fn exchange(
+    instance: &Instance,
     execution: &Execution<'_>,
     connection: &mut PooledConnection,
-) -> Result<Reply, ConnectionLost> {
+) -> Result<Reply, Interruption> {
     let work = &execution.work;
     let name = connection
         .apply_session_state(work.state())
         .await
-        .map_err(|_| ConnectionLost::BeforeSend)?;
+        .map_err(|_| Interruption::BeforeSend)?;
+    if !may_use(instance, execution.primary_ref) {
+        return Err(Interruption::PrimaryUncertain);
+    }
     let Some(read_only) = execution.begin else {
         let request = work.request(name.as_deref(), execution.min_position);
         return connection
             .run(&request)
             .await
-            .map_err(|_| ConnectionLost::AfterSend);
+            .map_err(|_| Interruption::AfterSend);
     };
     let begin_request = Request {
         id: None,
@@ -413,16 +424,19 @@
     let reply = connection
         .run(&begin_request)
         .await
-        .map_err(|_| ConnectionLost::BeforeSend)?;
+        .map_err(|_| Interruption::BeforeSend)?;
     if reply.result.is_err() {
         return Ok(reply);
     }
+    if !may_use(instance, execution.primary_ref) {
+        return Err(Interruption::PrimaryUncertain);
+    }
     let request = work.request(name.as_deref(), None);
     // The endpoint rolls back a transaction whose connection breaks before the commit.
     connection
         .run(&request)
         .await
-        .map_err(|_| ConnectionLost::AfterSend)
+        .map_err(|_| Interruption::AfterSend)
 }
 
 /// Converts a refusal to the error of the attempt, and records the position that a lagging replica
@@ -447,9 +461,13 @@
     AttemptError::Failed(refusal.clone())
 }
 
-/// Connection to an endpoint that broke before or after the statement was sent.
+/// Why an exchange with an endpoint ended without a reply.
 #[derive(Clone, Copy, Debug)]
-enum ConnectionLost {
+enum Interruption {
+    /// The connection broke before the statement was sent.
     BeforeSend,
+    /// The connection broke after the statement was sent.
     AfterSend,
+    /// The instance may not use the primary any more; the statement was not sent.
+    PrimaryUncertain,
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -28,10 +28,11 @@
 use self::lease::Leases;
 use crate::caller::Code;
 use crate::endpoint::{Access, Endpoint, Reply};
-use crate::execution::{AttemptError, Execution, PrimaryRef, Problem, Work};
+use crate::execution::{AttemptError, Execution, Problem, Work};
 use crate::instance::Instance;
 use crate::peer::{self, Unanswered};
 use crate::pool::{EndpointPool, InFlightGuard};
+use crate::primary::{PrimaryRef, PrimaryUse};
 
 /// Time for which a sender waits longer than the egress instance may take: a round trip between the
 /// users' regions and a turn of either process.
@@ -167,7 +168,7 @@
     };
     let _in_flight = InFlightGuard::new(endpoint_pool);
     let primary_ref = execution.primary_ref;
-    let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+    let _primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
     if primary_ref.is_some_and(|primary| !primary.is_current(instance)) {
         return Err(SendError::Attempt(AttemptError::NotRun(Code::Busy)));
     }
@@ -396,7 +397,7 @@
         deadline: Instant,
     ) -> Result<Reply, Problem> {
         let _in_flight = InFlightGuard::new(&self.endpoint_pool);
-        let _primary_use = primary_ref.map(|primary| instance.track_primary_use(&primary.service));
+        let _primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
         let sent_at = instance.now();
         let time = deadline.saturating_duration_since(sent_at);
         let statement = ForwardedStatement::new(work, time);
--- a/crates/entry/src/forward/lease.rs
+++ b/crates/entry/src/forward/lease.rs
@@ -13,9 +13,10 @@
 use super::{ForwardError, ForwardReply, Forwarded, ForwardedStatement, plan};
 use crate::caller::{Code, TransactionState};
 use crate::endpoint::Endpoint;
-use crate::execution::{self, AttemptError, Execution, PrimaryRef};
+use crate::execution::{self, AttemptError, Execution};
 use crate::instance::{Instance, Phase};
 use crate::pool::PooledConnection;
+use crate::primary::PrimaryRef;
 use crate::task;
 
 /// Longest time without a statement after which a lease ends, if the configuration has no timeout
@@ -259,7 +260,10 @@
     let work = statement.work();
     let reply = execution::execute_next(instance, connection, primary_ref, work, deadline)
         .await
-        .map_err(|problem| ForwardError::Attempt(AttemptError::OutcomeUnknown(problem)))?;
+        .map_err(|problem| match problem {
+            problem if problem.is_not_run() => ForwardError::LeaseEnded,
+            problem => ForwardError::Attempt(AttemptError::OutcomeUnknown(problem)),
+        })?;
     match reply.state {
         TransactionState::Open => {
             lease.last_used = instance.now();
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -2,7 +2,6 @@
 //! store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +19,7 @@
 use crate::memory::Budget;
 use crate::peer::Peers;
 use crate::pool::{EndpointPool, Pool};
+use crate::primary::Uses;
 use crate::quota::Quota;
 use crate::settings::Settings;
 use crate::store::{Dialect, Event, Failover, Item, Listing, Metering, Store};
@@ -81,22 +81,6 @@
     }
 }
 
-/// Number of statements in flight that rely on the primary of one service.
-#[derive(Debug, Default)]
-struct UseCount {
-    count: Cell<usize>,
-}
-
-/// Guard of a statement that relies on a primary; dropping it ends the count.
-#[derive(Debug)]
-pub struct PrimaryUse(Rc<UseCount>);
-
-impl Drop for PrimaryUse {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-    }
-}
-
 /// One entry instance.
 pub struct Instance {
     /// Settings in force.
@@ -135,7 +119,8 @@
     pub is_store_reachable: Cell<bool>,
     /// Statements of callers that were received and not answered yet.
     pub unanswered_statements: Cell<usize>,
-    primary_uses: RefCell<BTreeMap<Arc<str>, Rc<UseCount>>>,
+    /// Statements in flight that rely on primaries.
+    pub primary_uses: Uses,
 }
 
 impl std::fmt::Debug for Instance {
@@ -168,7 +153,7 @@
             is_store_reachable: Cell::new(false),
             unanswered_statements: Cell::new(0),
             watermarks: Watermarks::default(),
-            primary_uses: RefCell::default(),
+            primary_uses: Uses::default(),
         })
     }
 
@@ -409,7 +394,7 @@
         let (instance, service) = (Rc::clone(self), Arc::clone(service));
         tokio::task::spawn_local(async move {
             tokio::time::sleep(RELEASE_GRACE).await;
-            if instance.primary_use_count(&service) > 0 {
+            if instance.primary_uses.count(&service) > 0 {
                 info!(instance.log, "statements at a former primary given up";
                     "service" => service.as_ref(), "endpoint" => from.as_ref());
                 instance.pool.for_endpoint(&endpoint).abort_all();
@@ -419,22 +404,6 @@
         });
     }
 
-    /// Counts a statement that relies on the primary of a service until the guard is dropped.
-    pub fn track_primary_use(&self, service: &Arc<str>) -> PrimaryUse {
-        let mut primary_uses = self.primary_uses.borrow_mut();
-        let count = primary_uses.entry(Arc::clone(service)).or_default();
-        count.count.set(count.count.get() + 1);
-        PrimaryUse(Rc::clone(count))
-    }
-
-    /// Returns the number of statements in flight that rely on the primary of a service.
-    pub fn primary_use_count(&self, service: &str) -> usize {
-        let primary_uses = self.primary_uses.borrow();
-        primary_uses
-            .get(service)
-            .map_or(0, |count| count.count.get())
-    }
-
     /// Returns the primary of a service, or `None` while it is unknown, being changed, or this
     /// instance's primary lease is not valid.
     pub fn primary(&self, service: &str) -> Option<Arc<str>> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod memory;
 pub mod peer;
 pub mod pool;
+pub mod primary;
 pub mod quota;
 pub mod session;
 pub mod settings;
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -188,7 +188,7 @@
         let is_released = succession::wait_until_released(&self.0, &service, revision).await;
         info!(self.0.log, "release of a primary requested"; "service" => service.as_ref(),
             "record_revision" => revision, "released" => is_released,
-            "statements" => self.0.primary_use_count(&service));
+            "statements" => self.0.primary_uses.count(&service));
         is_released
     }
 
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -271,10 +271,7 @@
         if is_expired {
             info!(self.log, "idle transaction ended"; "limit_ms" => limit.as_millis() as u64);
             self.fail_transaction();
-        } else if self
-            .transaction
-            .is_primary_replaced(&self.instance, &self.route.service)
-        {
+        } else if self.transaction.is_primary_lost(&self.instance) {
             self.fail_transaction();
         }
     }
--- a/crates/entry/src/session/attempt.rs
+++ b/crates/entry/src/session/attempt.rs
@@ -21,9 +21,10 @@
 use crate::caller::{Code, Refusal, Statement};
 use crate::catalog::Consistency;
 use crate::endpoint::{Access, Endpoint, Reply};
-use crate::execution::{self, AttemptError, Execution, PrimaryRef, Problem, Work};
+use crate::execution::{self, AttemptError, Execution, Problem, Work};
 use crate::forward::{self, Path, SendError};
 use crate::pool::EndpointPool;
+use crate::primary::PrimaryRef;
 
 /// Pause between two rounds of attempts over all endpoints.
 const ROUND_INTERVAL: Duration = Duration::from_millis(12);
--- a/crates/entry/src/session/transaction.rs
+++ b/crates/entry/src/session/transaction.rs
@@ -1,20 +1,19 @@
 //! Transaction of a session, pinned to one endpoint connection from its first statement to its end.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filbertbay_coordination::succession::Phase;
 use slog::info;
 
 use super::attempt::PendingStatement;
 use super::{QUEUE_WAIT_DIVISOR, Session};
 use crate::caller::{Answer, Code, Command, Refusal, Statement, TransactionState};
 use crate::endpoint::{Access, Reply};
-use crate::execution::{self, PrimaryRef, Problem, Work};
+use crate::execution::{self, Problem, Work};
 use crate::forward::Remote;
 use crate::instance::Instance;
 use crate::pool::PooledConnection;
+use crate::primary::PrimaryRef;
 
 /// Delay before a statement that was refused by a busy endpoint is sent again.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
@@ -119,20 +118,13 @@
         (limit > Duration::ZERO).then(|| last_used + limit)
     }
 
-    /// Returns whether the transaction runs on a primary that is being replaced or was replaced.
-    pub(super) fn is_primary_replaced(&self, instance: &Instance, service: &str) -> bool {
+    /// Returns whether the transaction runs on a primary that the instance may not use any more.
+    pub(super) fn is_primary_lost(&self, instance: &Instance) -> bool {
         let Self::Pinned(pinned) = self else {
             return false;
         };
-        let Some(primary_ref) = &pinned.primary_ref else {
-            return false;
-        };
-        let view = instance.view.borrow();
-        let stored = view.primary_record(service);
-        let is_recorded = stored.is_none_or(|stored| {
-            stored.record.phase == Phase::Leading(Arc::clone(&primary_ref.endpoint))
-        });
-        !is_recorded || view.record_revision(service) != primary_ref.revision
+        let mut primary_ref = pinned.primary_ref.iter();
+        primary_ref.any(|primary| !primary.is_current(instance))
     }
 }
 
@@ -192,10 +184,7 @@
 
     /// Runs a statement of a pinned transaction on its connection.
     pub(super) async fn run_pinned(&mut self, pending: &PendingStatement<'_>) -> Answer {
-        if self
-            .transaction
-            .is_primary_replaced(&self.instance, &self.route.service)
-        {
+        if self.transaction.is_primary_lost(&self.instance) {
             let refusal = Refusal::new(Code::Aborted, "the primary is being changed");
             return self.fail_transaction_with(refusal);
         }
@@ -277,10 +266,7 @@
                 }
             };
         }
-        if self
-            .transaction
-            .is_primary_replaced(&self.instance, &self.route.service)
-        {
+        if self.transaction.is_primary_lost(&self.instance) {
             self.fail_transaction();
             return self.answer_failed(statement);
         }
@@ -297,7 +283,7 @@
             let work = pending.work(&self.values);
             let reply = match pinned.run(&self.instance, work, deadline).await {
                 Ok(reply) => reply,
-                Err(problem) if pinned.has_written && problem != Problem::LeaseEnded => {
+                Err(problem) if pinned.has_written && !problem.is_not_run() => {
                     let text = format!("the outcome of the commit is unknown: {problem}");
                     return self.refuse(Code::Unknown, text);
                 }
--- a/crates/entry/src/succession/evidence.rs
+++ b/crates/entry/src/succession/evidence.rs
@@ -39,7 +39,7 @@
     let deadline = instance.now() + RELEASE_TIMEOUT;
     loop {
         let known_revision = instance.view.borrow().record_revision(service);
-        if known_revision >= revision && instance.primary_use_count(service) == 0 {
+        if known_revision >= revision && instance.primary_uses.count(service) == 0 {
             return true;
         }
         if instance.now() >= deadline {
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -11,8 +11,8 @@
 
 use slog::{info, warn};
 
-use crate::execution::PrimaryRef;
 use crate::instance::Instance;
+use crate::primary::PrimaryRef;
 
 /// What has been logged about the primary lease of this instance.
 #[derive(Debug, Default)]
