Replace a recorded primary that a late promotion of another member overtook

Callers could not write to a service any more, for good: an order to promote that got no answer may take effect seconds later, after another member was promoted and recorded. The recorded primary then becomes a replica of a later term, and nobody noticed: it answers, so it is not silent, its entry is not looked at, and each write is refused as read-only. Reads of a primary route went on there at a replica.

Its answers show it: a refusal as read-only, or a position of a later term than before under the same record. Either raises a suspicion (coordination::succession::overtaken), its positions no longer become watermarks, and the instance asks the member for its status. If that states the role of a replica, a change of primary begins, with the usual release by all instances. A status as primary ends the suspicion for its term, as the position of a primary may reach its term only with its first commit.

Open: writes that the recorded primary commits before it hears of the later term are lost, and nothing can show that before. An order that was not answered is not repeated for the same member.

--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -298,8 +298,9 @@
             if reply.result.is_ok() && !is_covered(instance, primary_use.as_ref()) {
                 return Err(Problem::PrimaryChanging);
             }
-            if let (Some(primary), Some(position)) = (primary_ref, reply.position) {
-                primary.record_position(instance, sent_at, position);
+            if let Some(primary) = primary_ref {
+                let refusal = reply.result.as_ref().err().map(|refusal| refusal.code);
+                primary.record_answer(instance, sent_at, reply.position, refusal);
             }
             Ok(reply)
         }
@@ -371,8 +372,9 @@
         }
     };
     endpoint_pool.record_answer(now);
-    if let (Some(primary), Some(position)) = (execution.primary_ref, reply.position) {
-        primary.record_position(instance, sent_at, position);
+    if let Some(primary) = execution.primary_ref {
+        let refusal = reply.result.as_ref().err().map(|refusal| refusal.code);
+        primary.record_answer(instance, sent_at, reply.position, refusal);
     }
     match &reply.result {
         Ok(_) => {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -277,8 +277,9 @@
     if answer.result.is_ok() {
         endpoint_pool.record_latency(now, now.saturating_duration_since(sent_at));
     }
-    if let (Some(primary), Some(position)) = (primary_ref, answer.position) {
-        primary.record_position(instance, sent_at, position);
+    if let Some(primary) = primary_ref {
+        let refusal = answer.result.as_ref().err().map(|refusal| refusal.code);
+        primary.record_answer(instance, sent_at, answer.position, refusal);
     }
 }
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::quota::Quota;
 use crate::settings::Settings;
 use crate::store::{Dialect, Event, Failover, Item, Listing, Metering, Store};
+use crate::succession::Leaders;
 use crate::trace::Trace;
 use crate::usage::Usage;
 use crate::view::{Change, PROMOTION_LOCK_KEY, USAGE_LOCK_KEY, View};
@@ -119,6 +120,8 @@
     pub is_store_reachable: Cell<bool>,
     /// Statements of callers that were received and not answered yet.
     pub unanswered_statements: Cell<usize>,
+    /// What the answers of the recorded primaries tell.
+    pub leaders: Leaders,
     /// Statements in flight that rely on primaries.
     pub primary_uses: Uses,
 }
@@ -153,6 +156,7 @@
             is_store_reachable: Cell::new(false),
             unanswered_statements: Cell::new(0),
             watermarks: Watermarks::default(),
+            leaders: Leaders::default(),
             primary_uses: Uses::default(),
         })
     }
--- a/crates/entry/src/primary.rs
+++ b/crates/entry/src/primary.rs
@@ -14,6 +14,7 @@
 use filbertbay_coordination::succession::PrimaryLease;
 use filbertbay_state::position::Position;
 
+use crate::caller::Code;
 use crate::instance::Instance;
 
 /// Primary of a service, with the revision of the stored record that names it.
@@ -28,15 +29,35 @@
 }
 
 impl PrimaryRef {
-    /// Records the position that the endpoint reported, if the same record still names it primary.
-    pub fn record_position(&self, instance: &Instance, sent_at: Instant, position: Position) {
-        instance.record_position(
-            &self.service,
-            &self.endpoint,
-            self.revision,
-            sent_at,
-            position,
-        );
+    /// Records what an answer to a request that was sent at `sent_at` tells of the endpoint, if the same
+    /// record still names it primary: its position, or that it is a replica.
+    pub fn record_answer(
+        &self,
+        instance: &Instance,
+        sent_at: Instant,
+        position: Option<Position>,
+        refusal: Option<Code>,
+    ) {
+        if !self.is_current(instance) {
+            return;
+        }
+        let term = position.map(|position| position.term);
+        let is_read_only = refusal == Some(Code::ReadOnly);
+        let leaders = &instance.leaders;
+        let (is_suspect, is_new) = leaders.record_answer(self, term, is_read_only);
+        if is_new {
+            instance.primary_suspected.notify_one();
+        }
+        // The position of a replica proves nothing about the age of its data.
+        if let Some(position) = position.filter(|_| !is_suspect) {
+            instance.record_position(
+                &self.service,
+                &self.endpoint,
+                self.revision,
+                sent_at,
+                position,
+            );
+        }
     }
 
     /// Returns whether the instance may use this primary: its primary lease is valid and the same
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -8,12 +8,14 @@
 //! starts the change again.
 
 mod evidence;
+mod overtaken;
 mod promotion;
 mod release;
 mod selection;
 
 pub(crate) use self::evidence::{Answer, status};
 pub use self::evidence::{check_reachability, wait_until_released};
+pub use self::overtaken::Leaders;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -71,6 +73,8 @@
     Gone,
     /// No instance gets answers from the primary.
     Silent,
+    /// The primary states that it is a replica.
+    Overtaken,
     /// An earlier change was not completed.
     Unfinished,
     /// No primary is known.
@@ -203,7 +207,7 @@
     }
 
     /// Returns the reason to change the primary of a service, or `None` if there is none.
-    fn detect_fault(&self, service: &str) -> Option<Reason> {
+    fn detect_fault(&self, service: &Arc<str>) -> Option<Reason> {
         let view = self.instance.view.borrow();
         if let Some(stored) = view.primary_record(service)
             && stored.record.phase == Phase::Moving
@@ -228,9 +232,10 @@
             return Some(Reason::Draining);
         }
         let failure_detector = self.instance.pool.for_endpoint(endpoint).failure_detector();
-        failure_detector
-            .is_suspect(self.instance.now())
-            .then_some(Reason::Silent)
+        if failure_detector.is_suspect(self.instance.now()) {
+            return Some(Reason::Silent);
+        }
+        self.may_be_overtaken(service).then_some(Reason::Overtaken)
     }
 
     /// Runs a change if the fault is confirmed and this instance gets the promotion lock. Returns
@@ -239,6 +244,9 @@
         if reason == Reason::Silent && !self.is_unresponsive_for_all(service).await {
             return false;
         }
+        if reason == Reason::Overtaken && !self.is_overtaken(service).await {
+            return false;
+        }
         if reason.is_planned() && !self.can_switch_over(service).await {
             return false;
         }
