Demote the previous primary at its last known address if its entry is missing

A healthy primary was replaced without being demoted if its entry in the store was missing or could not be read, so it went on as a primary until it heard of its successor, and a change without its position may lose commits that only it has. Statements in flight there were not given up either and held up the change.

Each instance now keeps the endpoint of the present primary of each service (succession::previous) and demotes it there; the connection names the expected id, so that another member at the address refuses. Without a record, the last member that alone reported the role counts as the previous primary. Statements in flight are aborted by the id of the endpoint. A busy previous primary was asked again already (a_busy_primary_is_demoted_in_a_planned_change).

Before, a_primary_with_an_unreadable_entry_is_demoted failed with 'the old primary still leads', and statements_at_a_primary_with_an_unreadable_entry_are_given_up, with the early return in release_primary alone put back, with 'COMPLETE i-1...'.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -391,9 +391,6 @@
         let Some(from) = stored.record.from.clone() else {
             return;
         };
-        let Some(endpoint) = view.endpoint(&from).cloned() else {
-            return;
-        };
         drop(view);
         let (instance, service) = (Rc::clone(self), Arc::clone(service));
         tokio::task::spawn_local(async move {
@@ -401,7 +398,7 @@
             if instance.primary_uses.count(&service) > 0 {
                 info!(instance.log, "statements at a former primary given up";
                     "service" => service.as_ref(), "endpoint" => from.as_ref());
-                instance.pool.for_endpoint(&endpoint).abort_all();
+                instance.pool.abort(&from);
             } else {
                 instance.pool.close_idle(&from);
             }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -372,6 +372,14 @@
         self.endpoint_pools.borrow().values().cloned().collect()
     }
 
+    /// Aborts the statements in flight at an endpoint and closes its idle connections.
+    pub fn abort(&self, id: &str) {
+        let endpoint_pool = self.endpoint_pools.borrow().get(id).cloned();
+        if let Some(endpoint_pool) = endpoint_pool {
+            endpoint_pool.abort_all();
+        }
+    }
+
     /// Removes an endpoint, aborts its statements in flight and closes its idle connections.
     pub fn remove(&self, id: &str) {
         let endpoint_pool = self.endpoint_pools.borrow_mut().remove(id);
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -9,6 +9,7 @@
 
 mod evidence;
 mod overtaken;
+mod previous;
 mod promotion;
 mod release;
 mod selection;
@@ -28,6 +29,7 @@
 use filbertbay_coordination::succession::{Phase, PrimaryRecord};
 use slog::{info, warn};
 
+use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::lock::{self, Held, Lock};
 use crate::store::{ConditionalWrite, Error, ErrorKind, Item, WriteOutcome};
@@ -95,6 +97,8 @@
     in_progress: RefCell<BTreeSet<Arc<str>>>,
     /// Time since which each service has had a fault without interruption.
     fault_since: RefCell<BTreeMap<Arc<str>, Instant>>,
+    /// Last known endpoint of the primary of each service.
+    known_primaries: RefCell<BTreeMap<Arc<str>, Rc<Endpoint>>>,
 }
 
 /// Change of a primary by this instance; ends on drop, also after a panic.
@@ -116,6 +120,7 @@
             promotion_lock: Lock::new(PROMOTION_LOCK),
             in_progress: RefCell::default(),
             fault_since: RefCell::default(),
+            known_primaries: RefCell::default(),
         });
         coordinator.run()
     });
@@ -149,7 +154,9 @@
             return true;
         }
         let mut is_healthy = true;
+        self.forget_primaries(&catalog);
         for service in catalog.services.keys() {
+            self.remember_primary(service);
             let Some(reason) = self.detect_fault(service) else {
                 self.fault_since.borrow_mut().remove(service);
                 continue;
@@ -300,10 +307,9 @@
         };
         let release_record = self.write_record(service, &record).await?;
         self.wait_for_release(service, &release_record).await?;
-        let previous = from.as_ref().and_then(|id| {
-            let view = self.instance.view.borrow();
-            view.endpoint(id).cloned()
-        });
+        let previous = from
+            .as_ref()
+            .and_then(|id| self.previous_endpoint(service, id));
         let demoted = self.demote(previous.as_ref(), reason).await;
         let (next, baseline) = self
             .select_successor(service, from.as_ref(), demoted)
@@ -324,15 +330,6 @@
         self.promotion_lock.renew(&self.instance).await.is_some()
     }
 
-    /// Returns the primary that is to be replaced, if it is known.
-    fn previous_primary(&self, service: &str) -> Option<Arc<str>> {
-        let view = self.instance.view.borrow();
-        match view.primary_record(service).map(|stored| &stored.record) {
-            Some(record) if record.phase == Phase::Moving => record.from.clone(),
-            _ => view.primary(service),
-        }
-    }
-
     fn next_change(&self, service: &str) -> u64 {
         let view = self.instance.view.borrow();
         let stored = view.primary_record(service);
--- a/crates/entry/src/succession/selection.rs
+++ b/crates/entry/src/succession/selection.rs
@@ -92,6 +92,9 @@
         info!(self.instance.log, "former primary demoted"; "endpoint" => endpoint.id.as_ref(),
             "term" => before.term.0, "answered" => after.is_some(),
             "position" => after.map(|status| status.received.to_string()));
+        if self.instance.view.borrow().endpoint(&endpoint.id).is_none() {
+            self.instance.pool.remove(&endpoint.id);
+        }
         Some(Demoted {
             term: before.term,
             position: after.unwrap_or(before).received,
