Write the record of a primary only under the token of the change that writes it

A change of primary renewed the promotion lock before it wrote its record, but did not compare the fencing token: if another change of the same instance had lost and acquired the lock again meanwhile, the record was written under a token that is no longer held. The order to promote compares it already. No test shows the case: the conditional write of the record refuses it unless a store that returned from a copy lacks the record of another holder, and the stand-ins have one service only, so one change at a time.

--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -345,7 +345,9 @@
         let key: Arc<str> = format!("{PRIMARY_RECORD_PREFIX}{service}").into();
         let expected = self.instance.view.borrow().stored_revision(&key);
         let value = encode(record).map_err(|_| "the record can't be encoded")?;
-        if !self.renew_lock().await {
+        let held = self.promotion_lock.renew(&self.instance).await;
+        // Another change of this instance may have acquired the lock again, under a higher token.
+        if held.is_none_or(|held| held.fence != record.fence) {
             return Err("the promotion lock was lost before the record was written");
         }
         let change = ConditionalWrite {
