--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -22,7 +22,7 @@
 use crate::primary::Uses;
 use crate::quota::Quota;
 use crate::settings::Settings;
-use crate::store::{Dialect, Event, Failover, Item, Listing, Metering, Store};
+use crate::store::{Dialect, Event, Failover, Item, Lease, Listing, Metering, Store};
 use crate::succession::Leaders;
 use crate::trace::Trace;
 use crate::usage::Usage;
@@ -106,6 +106,8 @@
     pub watermarks: Watermarks,
     /// Counts of the statements that are sent to endpoints.
     pub usage: Usage,
+    /// Lease of this instance's entry in the store, while it has one.
+    pub entry_lease: Cell<Option<Lease>>,
     /// What has been logged about the use of primaries.
     pub trace: Trace,
     /// Logger.
@@ -143,6 +145,7 @@
             forwards: Forwards::default(),
             quota,
             usage: Usage::new(&settings, clock),
+            entry_lease: Cell::default(),
             trace: Trace::default(),
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
