--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::quota::Quota;
 use crate::settings::Settings;
 use crate::store::{Dialect, Event, Failover, Item, Lease, Listing, Metering, Store};
+use crate::succession::Leaders;
 use crate::trace::Trace;
 use crate::usage::Usage;
 use crate::view::{Change, PROMOTION_LOCK_KEY, USAGE_LOCK_KEY, View};
@@ -121,6 +122,8 @@
     pub is_store_reachable: Cell<bool>,
     /// Statements of callers that were received and not answered yet.
     pub unanswered_statements: Cell<usize>,
+    /// What the answers of the recorded primaries tell.
+    pub leaders: Leaders,
     /// Statements in flight that rely on primaries.
     pub primary_uses: Uses,
 }
@@ -156,6 +159,7 @@
             is_store_reachable: Cell::new(false),
             unanswered_statements: Cell::new(0),
             watermarks: Watermarks::default(),
+            leaders: Leaders::default(),
             primary_uses: Uses::default(),
         })
     }
@@ -390,9 +394,6 @@
         let Some(from) = stored.record.from.clone() else {
             return;
         };
-        let Some(endpoint) = view.endpoint(&from).cloned() else {
-            return;
-        };
         drop(view);
         let (instance, service) = (Rc::clone(self), Arc::clone(service));
         tokio::task::spawn_local(async move {
@@ -400,7 +401,7 @@
             if instance.primary_uses.count(&service) > 0 {
                 info!(instance.log, "statements at a former primary given up";
                     "service" => service.as_ref(), "endpoint" => from.as_ref());
-                instance.pool.for_endpoint(&endpoint).abort_all();
+                instance.pool.abort(&from);
             } else {
                 instance.pool.close_idle(&from);
             }
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -8,12 +8,15 @@
 //! starts the change again.
 
 mod evidence;
+mod overtaken;
+mod previous;
 mod promotion;
 mod release;
 mod selection;
 
 pub(crate) use self::evidence::{Answer, status};
 pub use self::evidence::{check_reachability, wait_until_released};
+pub use self::overtaken::Leaders;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +29,7 @@
 use filbertbay_coordination::succession::{Phase, PrimaryRecord};
 use slog::{info, warn};
 
+use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::lock::{self, Held, Lock};
 use crate::store::{ConditionalWrite, Error, ErrorKind, Item, WriteOutcome};
@@ -71,6 +75,8 @@
     Gone,
     /// No instance gets answers from the primary.
     Silent,
+    /// The primary states that it is a replica.
+    Overtaken,
     /// An earlier change was not completed.
     Unfinished,
     /// No primary is known.
@@ -91,6 +97,8 @@
     in_progress: RefCell<BTreeSet<Arc<str>>>,
     /// Time since which each service has had a fault without interruption.
     fault_since: RefCell<BTreeMap<Arc<str>, Instant>>,
+    /// Last known endpoint of the primary of each service.
+    known_primaries: RefCell<BTreeMap<Arc<str>, Rc<Endpoint>>>,
 }
 
 /// Change of a primary by this instance; ends on drop, also after a panic.
@@ -112,6 +120,7 @@
             promotion_lock: Lock::new(PROMOTION_LOCK),
             in_progress: RefCell::default(),
             fault_since: RefCell::default(),
+            known_primaries: RefCell::default(),
         });
         coordinator.run()
     });
@@ -145,7 +154,9 @@
             return true;
         }
         let mut is_healthy = true;
+        self.forget_primaries(&catalog);
         for service in catalog.services.keys() {
+            self.remember_primary(service);
             let Some(reason) = self.detect_fault(service) else {
                 self.fault_since.borrow_mut().remove(service);
                 continue;
@@ -203,7 +214,7 @@
     }
 
     /// Returns the reason to change the primary of a service, or `None` if there is none.
-    fn detect_fault(&self, service: &str) -> Option<Reason> {
+    fn detect_fault(&self, service: &Arc<str>) -> Option<Reason> {
         let view = self.instance.view.borrow();
         if let Some(stored) = view.primary_record(service)
             && stored.record.phase == Phase::Moving
@@ -228,9 +239,10 @@
             return Some(Reason::Draining);
         }
         let failure_detector = self.instance.pool.for_endpoint(endpoint).failure_detector();
-        failure_detector
-            .is_suspect(self.instance.now())
-            .then_some(Reason::Silent)
+        if failure_detector.is_suspect(self.instance.now()) {
+            return Some(Reason::Silent);
+        }
+        self.may_be_overtaken(service).then_some(Reason::Overtaken)
     }
 
     /// Runs a change if the fault is confirmed and this instance gets the promotion lock. Returns
@@ -239,6 +251,9 @@
         if reason == Reason::Silent && !self.is_unresponsive_for_all(service).await {
             return false;
         }
+        if reason == Reason::Overtaken && !self.is_overtaken(service).await {
+            return false;
+        }
         if reason.is_planned() && !self.can_switch_over(service).await {
             return false;
         }
@@ -292,10 +307,9 @@
         };
         let release_record = self.write_record(service, &record).await?;
         self.wait_for_release(service, &release_record).await?;
-        let previous = from.as_ref().and_then(|id| {
-            let view = self.instance.view.borrow();
-            view.endpoint(id).cloned()
-        });
+        let previous = from
+            .as_ref()
+            .and_then(|id| self.previous_endpoint(service, id));
         let demoted = self.demote(previous.as_ref(), reason).await;
         let (next, baseline) = self
             .select_successor(service, from.as_ref(), demoted)
@@ -316,15 +330,6 @@
         self.promotion_lock.renew(&self.instance).await.is_some()
     }
 
-    /// Returns the primary that is to be replaced, if it is known.
-    fn previous_primary(&self, service: &str) -> Option<Arc<str>> {
-        let view = self.instance.view.borrow();
-        match view.primary_record(service).map(|stored| &stored.record) {
-            Some(record) if record.phase == Phase::Moving => record.from.clone(),
-            _ => view.primary(service),
-        }
-    }
-
     fn next_change(&self, service: &str) -> u64 {
         let view = self.instance.view.borrow();
         let stored = view.primary_record(service);
@@ -340,7 +345,9 @@
         let key: Arc<str> = format!("{PRIMARY_RECORD_PREFIX}{service}").into();
         let expected = self.instance.view.borrow().stored_revision(&key);
         let value = encode(record).map_err(|_| "the record can't be encoded")?;
-        if !self.renew_lock().await {
+        let held = self.promotion_lock.renew(&self.instance).await;
+        // Another change of this instance may have acquired the lock again, under a higher token.
+        if held.is_none_or(|held| held.fence != record.fence) {
             return Err("the promotion lock was lost before the record was written");
         }
         let change = ConditionalWrite {
