--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -177,25 +177,13 @@
             return Err(AttemptError::NotRun(Code::Busy));
         }
     };
-    let mut connection = match acquired {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(AcquireError::Busy { retry_after })) => {
-            return Err(AttemptError::Overloaded { retry_after });
-        }
-        Ok(Err(AcquireError::Refused(code))) => return Err(AttemptError::NotRun(code)),
-        Ok(Err(AcquireError::Unreachable(problem))) => {
-            let endpoint = endpoint_pool.endpoint();
-            debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
-                "problem" => problem);
-            instance.primary_suspected.notify_one();
-            return Err(AttemptError::Unreachable);
-        }
-        Err(_) => {
-            endpoint_pool.record_failure(instance.now());
-            instance.primary_suspected.notify_one();
-            return Err(AttemptError::Unreachable);
-        }
-    };
+    let acquired = acquired.unwrap_or_else(|_| {
+        endpoint_pool.record_failure(instance.now());
+        Err(AcquireError::Unreachable(
+            "no connection in time".to_owned(),
+        ))
+    });
+    let mut connection = acquired.map_err(|error| attempt_error(instance, endpoint_pool, error))?;
     let primary_ref = execution.primary_ref;
     let primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
     // The primary may have changed during the wait for a connection.
@@ -230,6 +218,25 @@
     }
 }
 
+/// Returns the error of an attempt that got no connection.
+fn attempt_error(
+    instance: &Instance,
+    endpoint_pool: &EndpointPool,
+    error: AcquireError,
+) -> AttemptError {
+    match error {
+        AcquireError::Busy { retry_after } => AttemptError::Overloaded { retry_after },
+        AcquireError::Refused(code) => AttemptError::NotRun(code),
+        AcquireError::Unreachable(problem) => {
+            let endpoint = endpoint_pool.endpoint();
+            debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
+                "problem" => problem);
+            instance.primary_suspected.notify_one();
+            AttemptError::Unreachable
+        }
+    }
+}
+
 /// Returns whether a statement may be sent as far as its primary is concerned.
 fn may_use(instance: &Instance, primary_ref: Option<&PrimaryRef>) -> bool {
     primary_ref.is_none_or(|primary| primary.is_current(instance))
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -70,6 +70,6 @@
         let address = check::free_address();
         let peers = Peers::default();
         let answer = peers.view(address, 0).await;
-        assert!(matches!(answer, Err(CallError::Absent)), "{answer:?}");
+        assert!(matches!(answer, Err(CallError::Refused)), "{answer:?}");
     });
 }
