Leave the entry of a stopped instance to its lease, and take back only the own one

Cause (found in review): the entry was removed right after it said that the process had stopped. An instance that lists the store or follows a watcher saw only the removal and waited for a lease of 4 s, or 10 s. The entry was also taken back by its key alone, which may be that of another process of the same name, and stated the address of reloaded settings, at which nobody listens.

Change: the stopped entry stays until its lease ends, which saves a call; only an entry of the own incarnation is changed; the address is the one that was bound.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -2,6 +2,7 @@
 //! store.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -88,6 +89,8 @@
     pub settings: RefCell<Rc<Settings>>,
     /// Incarnation, which grows with each start.
     pub incarnation: u64,
+    /// Address at which other instances call this one, as bound at the start.
+    pub peer_address: SocketAddr,
     /// Clock of the process.
     pub clock: Clock,
     /// Local view of the store.
@@ -148,6 +151,7 @@
             entry_lease: Cell::default(),
             trace: Trace::default(),
             incarnation,
+            peer_address: settings.peers,
             settings: RefCell::new(Rc::new(settings)),
             clock,
             view: RefCell::default(),
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -477,7 +477,7 @@
 fn own_entry(instance: &Instance, is_stopped: bool) -> Result<(String, Bytes), Error> {
     let settings = instance.settings();
     let entry = InstanceEntry {
-        address: settings.peers,
+        address: instance.peer_address,
         data_centre: Arc::clone(&settings.data_centre),
         incarnation: instance.incarnation,
         weight: settings.weight(),
@@ -489,39 +489,34 @@
     Ok((key, Bytes::from(value)))
 }
 
-/// Removes the entry of this instance, so that other instances need not wait for its lease to expire.
+/// Takes the entry of this instance back, so that other instances need not wait for its lease to expire.
 ///
 /// A removal alone doesn't tell a stopped process from one whose lease has ended while it is cut off.
-/// If no session or forwarded transaction is left (`is_idle`), the entry therefore states first that
-/// this process has stopped, after which it uses no primary.
+/// If no session or forwarded transaction is left (`is_idle`), the entry therefore states that this
+/// process has stopped and uses no primary, until its lease ends; otherwise it is removed.
 ///
 /// # Errors
 ///
-/// Returns an error if a call to the store failed.
+/// Returns an error if the call to the store failed.
 pub async fn withdraw(instance: &Rc<Instance>, is_idle: bool) -> Result<(), Error> {
     let (key, value) = own_entry(instance, true)?;
-    let mut expected = {
+    let expected = {
         let view = instance.view.borrow();
+        let own_entry = view.peers().get(&instance.settings().name);
+        if own_entry.is_none_or(|entry| entry.incarnation != instance.incarnation) {
+            return Ok(());
+        }
         view.item(&key).map(|item| item.revision)
     };
-    if is_idle && let Some(lease) = instance.entry_lease.get() {
+    let lease = instance.entry_lease.get().filter(|_| is_idle);
+    if lease.is_some() {
         instance.view.borrow_mut().primary_lease.end();
-        let change = ConditionalWrite {
-            key: &key,
-            expected,
-            value: Some(value),
-            lease: Some(lease),
-        };
-        match instance.drivers.store.swap(change).await? {
-            WriteOutcome::Done(revision) => expected = Some(revision),
-            WriteOutcome::Conflict => return Ok(()),
-        }
     }
     let change = ConditionalWrite {
         key: &key,
         expected,
-        value: None,
-        lease: None,
+        value: lease.is_some().then_some(value),
+        lease,
     };
     instance.drivers.store.swap(change).await?;
     Ok(())
