Ask another process of the own name for its records before an era is confirmed

Cause (found in review): an instance left itself out by its name, and with it a former process of the same name at another address. Change: by name and incarnation, as a change of primary does. Result: platform/era passes; no test has two processes of one name there.

--- a/crates/entry/src/era.rs
+++ b/crates/entry/src/era.rs
@@ -131,7 +131,7 @@
     let (peers, since) = {
         let view = instance.view.borrow();
         let mut peers = view.roster.possible_lease_holders([]);
-        peers.remove(&own);
+        peers.retain(|name, peer| *name != own || peer.incarnation != instance.incarnation);
         (peers, view.era_since())
     };
     let mut addresses: Vec<SocketAddr> = peers.values().map(|peer| peer.address).collect();
