--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -83,6 +83,7 @@
 /// Lease of one instance to use primaries.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PrimaryLease {
+    first_contact: Option<Instant>,
     last_contact: Option<Instant>,
     last_peer_confirmation: Option<Instant>,
     is_listed: bool,
@@ -92,6 +93,7 @@
 impl PrimaryLease {
     /// Records that this instance knows the state of the store as of `at` or later.
     pub fn record_contact(&mut self, at: Instant) {
+        self.first_contact.get_or_insert(at);
         self.last_contact = self.last_contact.max(Some(at));
     }
 
@@ -135,6 +137,11 @@
             || (is_peer_confirmed && now < last_contact + MAX_PRIMARY_LEASE)
     }
 
+    /// Returns the time of the first contact with the store.
+    pub fn first_contact(&self) -> Option<Instant> {
+        self.first_contact
+    }
+
     /// Returns the time since the last contact with the store, or `None` before the first.
     pub fn contact_age(&self, now: Instant) -> Option<Duration> {
         self.last_contact
--- a/crates/entry/src/succession/release.rs
+++ b/crates/entry/src/succession/release.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filbertbay_coordination::succession::BASE_PRIMARY_LEASE;
 use filbertbay_coordination::succession::release::{Answer, Barrier};
+use filbertbay_coordination::succession::{BASE_PRIMARY_LEASE, MAX_PRIMARY_LEASE};
 use futures::future::join_all;
-use slog::info;
+use slog::{info, warn};
 
 use super::{Coordinator, POLL_INTERVAL, wait_until_released};
 use crate::peer::CallError;
@@ -22,9 +22,15 @@
         release_record: &Item,
     ) -> Result<(), &'static str> {
         let started_at = self.instance.now();
-        let lease_holders = self.lease_holders().await?;
+        let (lease_holders, are_all_known) = self.lease_holders().await?;
         let names = lease_holders.keys().cloned();
-        let all_known_at = self.instance.clock.started_at() + BASE_PRIMARY_LEASE;
+        // Leases of instances that left before this one first heard from the store have ended then.
+        let first_contact = self.instance.view.borrow().primary_lease.first_contact();
+        let all_known_at = if are_all_known {
+            first_contact.unwrap_or(started_at) + BASE_PRIMARY_LEASE
+        } else {
+            started_at + MAX_PRIMARY_LEASE
+        };
         let mut barrier = Barrier::new(started_at, names).not_before(all_known_at);
         loop {
             let pending: Vec<Arc<str>> = barrier.pending().cloned().collect();
@@ -68,16 +74,29 @@
     }
 
     /// Returns every instance whose primary lease may still be valid, from the store and the view.
-    async fn lease_holders(&self) -> Result<BTreeMap<Arc<str>, InstanceEntry>, &'static str> {
+    ///
+    /// The second value is false if some entry can't be read.
+    async fn lease_holders(
+        &self,
+    ) -> Result<(BTreeMap<Arc<str>, InstanceEntry>, bool), &'static str> {
         let listing = self.instance.drivers.store.list(INSTANCE_PREFIX).await;
         let listing = listing.map_err(|_| "the store did not list the instances")?;
+        let mut are_all_known = true;
         let listed = listing.items.into_iter().filter_map(|item| {
             let name = item.key.strip_prefix(INSTANCE_PREFIX)?;
-            let entry = serde_json::from_slice(&item.value).ok()?;
-            Some((Arc::from(name), entry))
+            match serde_json::from_slice(&item.value) {
+                Ok(entry) => Some((Arc::from(name), entry)),
+                Err(error) => {
+                    warn!(self.instance.log, "entry of an instance can't be read"; "peer" => name,
+                        "error" => %error);
+                    are_all_known = false;
+                    None
+                }
+            }
         });
         let view = self.instance.view.borrow();
-        Ok(view.roster.possible_lease_holders(listed))
+        let holders = view.roster.possible_lease_holders(listed);
+        Ok((holders, are_all_known))
     }
 
     /// Asks an instance to release the previous primary.
