--- a/crates/coordination/examples/release.rs
+++ b/crates/coordination/examples/release.rs
@@ -62,7 +62,7 @@
                 Answer::Refused if refused_counts => Answer::Released,
                 answer => answer,
             };
-            barrier.record(name, answer);
+            barrier.record(start + elapsed, name, answer);
         }
         if barrier.is_complete(start + elapsed) {
             return elapsed;
