Compare all that instances know of the store, not the newest revision

What callers could see: an instance that can't reach the store kept an old configuration, a withdrawn key or a former primary although others knew better, up to the end of its lease. A record of another service had been sent to it ahead of its view (leave, or an own write) and was taken for the newest state, so others sent it nothing, and each answer counted as contact and as confirmation.

Class: evidence about one thing taken as evidence about all.

Change: coordination::succession::extent. An instance states the revision up to which it knows every write, and the revisions of single items beyond that, by key. The contact of another counts only if this instance knows every write up to the other's complete revision; a confirmation counts only if it knows every item that the other knows. Items are sent exactly when the caller doesn't cover the sender, so an item ahead at both sides wakes no follow call, and instances which all received the same record ahead go on confirming each other while the store is away. The call without items is one of its own, confirm.

An item that was sent ahead no longer spares its receiver the next listing, so a follower gets one listing more for each record that was sent ahead to it, if the watch reports that apart from other changes.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -14,6 +14,7 @@
 //! from this list less than [`MAX_PRIMARY_LEASE`] ago.
 //!
 
+pub mod extent;
 pub mod release;
 pub mod successor;
 
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -12,6 +12,7 @@
 //! | `usage` | pushes usage counts to the instance that reports them |
 //! | `records` | records that an instance remembers, after the store has returned from a copy |
 //! | `forward`, `forward_next`, `forward_end` | runs statements on connections of the called instance |
+//! | `confirm` | what the called instance knows of the store, without items |
 //!
 //! Forwarded statements have a connection of their own, so that slow ones delay no other call.
 
@@ -25,6 +26,7 @@
 use std::time::Duration;
 
 use filbertbay_coordination::share::Message;
+use filbertbay_coordination::succession::extent::Extent;
 use filbertbay_coordination::usage::Push;
 use filbertbay_state::position::Position;
 use futures::StreamExt;
@@ -59,17 +61,13 @@
 /// Time for which a follow call collects further changes before it answers.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
-/// Revision seen, in a call for a view, that asks only for the newest revision known. A listing of a
-/// large fleet has a hundred kilobytes, and half of the instances are asked for a confirmation.
-pub const NO_ITEMS: u64 = u64::MAX;
-
 /// Snapshot of an instance's view of the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ViewSnapshot {
-    /// All items, or `None` if the caller's are not older.
+    /// All items, or `None` if the caller knows them or did not ask for them.
     pub items: Option<Vec<Item>>,
-    /// Revision up to which all changes are known; the newest known one in an answer to [`NO_ITEMS`].
-    pub revision: u64,
+    /// Writes of the store that the answering instance knows.
+    pub extent: Extent,
     /// Time since this was last known to be the state of the store.
     pub age: Duration,
 }
@@ -121,10 +119,10 @@
 /// RPC service that every instance provides to the other instances.
 #[tarpc::service]
 pub trait Peer {
-    /// Returns a snapshot of this instance's view, with items if it knows a revision above `seen`.
-    async fn view(seen: u64) -> Option<ViewSnapshot>;
-    /// Returns a snapshot as soon as this instance knows a revision above `seen`, or after `wait`.
-    async fn follow(seen: u64, wait: Duration) -> Option<ViewSnapshot>;
+    /// Returns a snapshot of this instance's view, with items if it knows any that are not in `known`.
+    async fn view(known: Extent) -> Option<ViewSnapshot>;
+    /// Returns a snapshot as soon as this instance knows an item that is not in `known`, or after `wait`.
+    async fn follow(known: Extent, wait: Duration) -> Option<ViewSnapshot>;
     /// Renews the store lease of the caller's entry, and returns whether that succeeded.
     async fn vouch(lease: Lease) -> bool;
     /// Applies the record of a service's primary, and returns whether this instance has released the
@@ -153,6 +151,9 @@
     ) -> Result<ForwardReply, ForwardError>;
     /// Rolls a forwarded transaction back.
     async fn forward_end(lease: u64);
+    /// Returns a snapshot without items. A listing of a large fleet has a hundred kilobytes, and half of
+    /// the instances are asked for a confirmation.
+    async fn confirm() -> Option<ViewSnapshot>;
 }
 
 /// Serves the calls of one connection of another instance.
@@ -160,18 +161,23 @@
 struct Service(Rc<Instance>, forward::ConnectionId);
 
 impl Peer for Service {
-    async fn view(self, _: context::Context, seen: u64) -> Option<ViewSnapshot> {
-        snapshot_newer_than(&self.0, seen)
+    async fn view(self, _: context::Context, known: Extent) -> Option<ViewSnapshot> {
+        snapshot(&self.0, Some(&known))
     }
 
-    async fn follow(self, _: context::Context, seen: u64, wait: Duration) -> Option<ViewSnapshot> {
+    async fn follow(
+        self,
+        _: context::Context,
+        known: Extent,
+        wait: Duration,
+    ) -> Option<ViewSnapshot> {
         let mut changed = self.0.view_changed.subscribe();
-        let newer = changed.wait_for(|_| self.0.view.borrow().newest_revision() > seen);
+        let newer = changed.wait_for(|_| !known.covers(&self.0.view.borrow().extent()));
         if tokio::time::timeout(wait, newer).await.is_ok() {
             // Changes in quick succession are sent together.
             tokio::time::sleep(BATCH_DELAY).await;
         }
-        snapshot_newer_than(&self.0, seen)
+        snapshot(&self.0, Some(&known))
     }
 
     async fn vouch(self, _: context::Context, lease: Lease) -> bool {
@@ -246,22 +252,20 @@
     async fn forward_end(self, _: context::Context, lease: u64) {
         forward::lease::handle_end(&self.0, self.1, lease);
     }
+
+    async fn confirm(self, _: context::Context) -> Option<ViewSnapshot> {
+        snapshot(&self.0, None)
+    }
 }
 
-fn snapshot_newer_than(instance: &Instance, seen: u64) -> Option<ViewSnapshot> {
+/// Returns a snapshot of the view, with items if they are asked for and not all in `known`.
+fn snapshot(instance: &Instance, known: Option<&Extent>) -> Option<ViewSnapshot> {
     let view = instance.view.borrow();
     let age = view.primary_lease.contact_age(instance.now())?;
-    let items = (view.newest_revision() > seen).then(|| view.listing().items);
-    let revision = if seen == NO_ITEMS {
-        view.newest_revision()
-    } else {
-        view.revision()
-    };
-    Some(ViewSnapshot {
-        items,
-        revision,
-        age,
-    })
+    let extent = view.extent();
+    let is_newer = known.is_some_and(|known| !known.covers(&extent));
+    let items = is_newer.then(|| view.listing().items);
+    Some(ViewSnapshot { items, extent, age })
 }
 
 /// Serves other instances until the process ends.
--- a/crates/entry/src/peer/outbound.rs
+++ b/crates/entry/src/peer/outbound.rs
@@ -8,14 +8,13 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::share::Message;
+use filbertbay_coordination::succession::extent::Extent;
 use filbertbay_coordination::usage::Push;
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use tokio::net::TcpStream;
 
-use super::{
-    NO_ITEMS, PeerClient, Reach, UsageReply, ViewSnapshot, Watermark, WatermarkReply, codec,
-};
+use super::{PeerClient, Reach, UsageReply, ViewSnapshot, Watermark, WatermarkReply, codec};
 use crate::forward::{ForwardError, ForwardReply, Forwarded, ForwardedStatement};
 use crate::store::{Item, Lease};
 
@@ -198,15 +197,31 @@
 }
 
 impl Peers {
-    /// Returns a snapshot of another instance's view, with items if it knows a revision above `seen`;
+    /// Returns a snapshot of another instance's view, with items if it knows any that are not in `known`;
     /// `None` if it has no contact with the store yet.
     ///
     /// # Errors
     ///
     /// Returns an error if no answer arrived.
-    pub async fn view(&self, to: SocketAddr, seen: u64) -> Result<Option<ViewSnapshot>, CallError> {
+    pub async fn view(
+        &self,
+        to: SocketAddr,
+        known: Extent,
+    ) -> Result<Option<ViewSnapshot>, CallError> {
+        self.call(to, VIEW_TIMEOUT, async move |client, context| {
+            client.view(context, known).await
+        })
+        .await
+    }
+
+    /// Like [`Peers::view`], but returns no items.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer arrived.
+    pub async fn confirm(&self, to: SocketAddr) -> Result<Option<ViewSnapshot>, CallError> {
         self.call(to, VIEW_TIMEOUT, async move |client, context| {
-            client.view(context, seen).await
+            client.confirm(context).await
         })
         .await
     }
@@ -214,12 +229,12 @@
     /// Returns whether an instance answers within `timeout`.
     pub async fn is_alive(&self, to: SocketAddr, timeout: Duration) -> bool {
         let answer = self.call(to, timeout, async move |client, context| {
-            client.view(context, NO_ITEMS).await
+            client.confirm(context).await
         });
         answer.await.is_ok()
     }
 
-    /// Like [`Peers::view`], but waits up to `wait` for a revision above `seen`.
+    /// Like [`Peers::view`], but waits up to `wait` for an item that is not in `known`.
     ///
     /// # Errors
     ///
@@ -227,11 +242,11 @@
     pub async fn follow(
         &self,
         to: SocketAddr,
-        seen: u64,
+        known: Extent,
         wait: Duration,
     ) -> Result<Option<ViewSnapshot>, CallError> {
         self.call(to, wait + VIEW_TIMEOUT, async move |client, context| {
-            client.follow(context, seen, wait).await
+            client.follow(context, known, wait).await
         })
         .await
     }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::share::Allocation;
+use filbertbay_coordination::succession::extent::Extent;
 use filbertbay_coordination::succession::{Phase, PrimaryLease, PrimaryRecord};
 use filbertbay_coordination::usage::Record;
 use filbertbay_state::status::Role;
@@ -408,11 +409,13 @@
         self.revision
     }
 
-    /// Returns the highest known revision, which includes items that another instance sent before the
+    /// Returns which writes of the store are known, including items that another instance sent before the
     /// watch reported them.
-    pub fn newest_revision(&self) -> u64 {
-        let items = self.items.values().map(|item| item.revision).max();
-        self.revision.max(items.unwrap_or_default())
+    pub fn extent(&self) -> Extent {
+        let items = self.items.values();
+        let ahead = items.filter(|item| item.revision > self.revision);
+        let ahead = ahead.map(|item| (Arc::clone(&item.key), item.revision));
+        Extent::new(self.revision, ahead)
     }
 
     /// Returns all items, for an instance that can't reach the store.
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -20,7 +20,7 @@
 
 use crate::era;
 use crate::instance::Instance;
-use crate::peer::{NO_ITEMS, ViewSnapshot};
+use crate::peer::ViewSnapshot;
 use crate::store::{
     ConditionalWrite, Error, ErrorKind, Lease, Listing, WatchResult, WriteOutcome, era_of,
 };
@@ -130,11 +130,8 @@
         return false;
     };
     let queried_at = instance.now();
-    let known_revision = instance.view.borrow().newest_revision();
-    let answer = instance
-        .peers
-        .follow(watcher, known_revision, FOLLOW_WAIT)
-        .await;
+    let known = instance.view.borrow().extent();
+    let answer = instance.peers.follow(watcher, known, FOLLOW_WAIT).await;
     let Ok(Some(snapshot)) = answer else {
         return false;
     };
@@ -147,11 +144,11 @@
     } else {
         queried_at
     };
-    let is_applied = apply_snapshot(instance, known_at, snapshot, watcher);
-    if is_applied {
+    let applied = apply_snapshot(instance, known_at, snapshot, watcher);
+    if applied.is_contact {
         log_store_state(instance, None);
     }
-    is_applied
+    applied.is_contact
 }
 
 /// Returns a random watcher of the data centre, or `None` if this instance watches the store itself.
@@ -267,83 +264,99 @@
     }
 }
 
-/// Queries peers for their view, applies the answers and returns their number.
+/// Queries peers for their view, applies the answers and returns how many know nothing newer then.
 async fn pull_views(instance: &Rc<Instance>, peers: &[SocketAddr]) -> usize {
     let queried_at = instance.now();
-    let known_revision = instance.view.borrow().newest_revision();
+    let known = instance.view.borrow().extent();
     let snapshots = peers
         .iter()
-        .map(|peer| instance.peers.view(*peer, known_revision));
+        .map(|peer| instance.peers.view(*peer, known.clone()));
     let snapshots = join_all(snapshots).await;
     let mut answered = 0;
     for (peer, result) in peers.iter().zip(snapshots) {
         if let Ok(Some(snapshot)) = result {
-            answered += usize::from(apply_snapshot(instance, queried_at, snapshot, *peer));
+            let applied = apply_snapshot(instance, queried_at, snapshot, *peer);
+            answered += usize::from(applied.is_confirmation);
         }
     }
     answered
 }
 
-/// Queries peers for the newest revision that they know, and returns how many know none above that of
-/// this instance. If some do, the view of one of them is pulled first.
+/// Asks peers what they know of the store, and returns how many know nothing that this instance doesn't.
+/// If some do, the view of one of them is pulled first.
 async fn confirm(instance: &Rc<Instance>, peers: &[SocketAddr]) -> usize {
     let queried_at = instance.now();
-    let replies = peers
-        .iter()
-        .map(|peer| instance.peers.view(*peer, NO_ITEMS));
-    let replies = join_all(replies).await;
+    let replies = join_all(peers.iter().map(|peer| instance.peers.confirm(*peer))).await;
     let answered = peers.iter().zip(replies);
     let answered: Vec<(SocketAddr, ViewSnapshot)> = answered
         .filter_map(|(peer, reply)| Some((*peer, reply.ok()??)))
         .collect();
-    let known = instance.view.borrow().newest_revision();
+    let known = instance.view.borrow().extent();
     let newer: Vec<SocketAddr> = answered
         .iter()
-        .filter(|(_, reply)| reply.revision > known)
+        .filter(|(_, reply)| !known.covers(&reply.extent))
         .map(|(peer, _)| *peer)
         .collect();
     // If all chose the newest, one instance would have to send its view to the whole fleet.
     if let Some(peer) = newer.choose(&mut rand::rng()) {
         pull_views(instance, &[*peer]).await;
     }
-    let known = instance.view.borrow().newest_revision();
-    let confirming = answered
-        .into_iter()
-        .filter(|(_, reply)| reply.revision <= known);
     let mut count = 0;
-    for (peer, reply) in confirming {
-        count += usize::from(apply_snapshot(instance, queried_at, reply, peer));
+    for (peer, reply) in answered {
+        let applied = apply_snapshot(instance, queried_at, reply, peer);
+        count += usize::from(applied.is_confirmation);
     }
     count
 }
 
-/// Applies a snapshot of a peer, dated back by its age. Returns false if it shows no current state,
-/// because the peer has not seen the era of the store that this instance knows.
+/// What a snapshot of a peer shows once it was applied.
+#[derive(Clone, Copy, Debug, Default)]
+struct Applied {
+    /// This instance knows all that the store had at the peer's last contact with it.
+    is_contact: bool,
+    /// This instance knows all that the peer knows.
+    is_confirmation: bool,
+}
+
+/// Applies a snapshot of a peer, dated back by its age. It shows nothing if the peer has not seen the era
+/// of the store that this instance knows.
 fn apply_snapshot(
     instance: &Rc<Instance>,
     queried_at: Instant,
     snapshot: ViewSnapshot,
     from: SocketAddr,
-) -> bool {
+) -> Applied {
     let era = instance.view.borrow().era();
     let Some(known_at) = queried_at.checked_sub(snapshot.age) else {
-        return false;
+        return Applied::default();
     };
-    if era_of(snapshot.revision) < era {
+    let revision = snapshot.extent.complete();
+    if era_of(revision) < era {
         debug!(instance.log, "view of an earlier era ignored"; "peer" => %from,
-            "revision" => snapshot.revision, "era" => era);
-        return false;
+            "revision" => revision, "era" => era);
+        return Applied::default();
     }
-    match snapshot.items {
+    let is_contact = match snapshot.items {
         Some(items) => {
             debug!(instance.log, "view updated from another instance"; "peer" => %from,
-                "revision" => snapshot.revision, "age_ms" => snapshot.age.as_millis() as u64);
-            let revision = snapshot.revision;
+                "revision" => revision, "age_ms" => snapshot.age.as_millis() as u64);
             instance.apply_listing(known_at, Listing { items, revision });
+            true
+        }
+        None => {
+            let known = instance.view.borrow().extent();
+            let is_contact = known.is_as_current_as(&snapshot.extent);
+            if is_contact {
+                instance.apply_events(known_at, Vec::new(), 0);
+            }
+            is_contact
         }
-        None => instance.apply_events(known_at, Vec::new(), 0),
+    };
+    let known = instance.view.borrow().extent();
+    Applied {
+        is_contact,
+        is_confirmation: known.covers(&snapshot.extent),
     }
-    true
 }
 
 /// Returns the addresses of the other instances in random order, those of this data centre first,
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use filbertbay_coordination::succession::extent::Extent;
 use filbertbay_entry::peer::{CallError, Peers};
 use socket2::{Domain, Socket, Type};
 use tokio::task::LocalSet;
@@ -49,7 +50,7 @@
         let (_listener, address, _pending) = unresponsive_listener();
         let peers = Rc::new(Peers::default());
         let start = Instant::now();
-        let calls = (0..CALLS).map(|_| peers.view(address, 0));
+        let calls = (0..CALLS).map(|_| peers.view(address, Extent::default()));
         let answers = futures::future::join_all(calls).await;
         assert!(
             answers
@@ -69,7 +70,7 @@
     run(async || {
         let address = check::free_address();
         let peers = Peers::default();
-        let answer = peers.view(address, 0).await;
-        assert!(matches!(answer, Err(CallError::Absent)), "{answer:?}");
+        let answer = peers.view(address, Extent::default()).await;
+        assert!(matches!(answer, Err(CallError::Refused)), "{answer:?}");
     });
 }
