--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -12,8 +12,8 @@
 //! Safety depends neither on the time of day nor on correct membership. It depends only on the list
 //! of instances that the store returned after the change, and on the instances that disappeared
 //! from this list less than [`MAX_PRIMARY_LEASE`] ago.
-//!
 
+pub mod extent;
 pub mod overtaken;
 pub mod promotion;
 pub mod release;
