--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -160,42 +160,7 @@
     endpoint_pool: &Rc<EndpointPool>,
     execution: &Execution<'_>,
 ) -> Result<Executed, AttemptError> {
-    let demand = Demand {
-        workspace: execution.workspace,
-        limit: execution.limit,
-        priority: execution.priority,
-        deadline: execution.queue_end,
-        service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
-    };
-    // On the heap, as it would make the future of every session larger.
-    let acquired = Box::pin(instance.pool.acquire(endpoint_pool, &demand));
-    let time = execution.deadline.saturating_duration_since(instance.now());
-    let acquired = tokio::select! {
-        acquired = tokio::time::timeout(time, acquired) => acquired,
-        // A statement that still waits holds up no change of the primary.
-        () = wait_until_replaced(instance, execution.primary_ref) => {
-            return Err(AttemptError::NotRun(Code::Busy));
-        }
-    };
-    let mut connection = match acquired {
-        Ok(Ok(connection)) => connection,
-        Ok(Err(AcquireError::Busy { retry_after })) => {
-            return Err(AttemptError::Overloaded { retry_after });
-        }
-        Ok(Err(AcquireError::Refused(code))) => return Err(AttemptError::NotRun(code)),
-        Ok(Err(AcquireError::Unreachable(problem))) => {
-            let endpoint = endpoint_pool.endpoint();
-            debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
-                "problem" => problem);
-            instance.primary_suspected.notify_one();
-            return Err(AttemptError::Unreachable);
-        }
-        Err(_) => {
-            endpoint_pool.record_failure(instance.now());
-            instance.primary_suspected.notify_one();
-            return Err(AttemptError::Unreachable);
-        }
-    };
+    let mut connection = acquire(instance, endpoint_pool, execution).await?;
     let primary_ref = execution.primary_ref;
     let primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
     // The primary may have changed during the wait for a connection.
@@ -230,6 +195,50 @@
     }
 }
 
+/// Waits for a connection on which a statement may run.
+async fn acquire(
+    instance: &Rc<Instance>,
+    endpoint_pool: &Rc<EndpointPool>,
+    execution: &Execution<'_>,
+) -> Result<PooledConnection, AttemptError> {
+    let demand = Demand {
+        workspace: execution.workspace,
+        limit: execution.limit,
+        priority: execution.priority,
+        deadline: execution.queue_end,
+        service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
+    };
+    // On the heap, as it would make the future of every session larger.
+    let acquired = Box::pin(instance.pool.acquire(endpoint_pool, &demand));
+    let time = execution.deadline.saturating_duration_since(instance.now());
+    let acquired = tokio::select! {
+        acquired = tokio::time::timeout(time, acquired) => acquired,
+        // A statement that still waits holds up no change of the primary.
+        () = wait_until_replaced(instance, execution.primary_ref) => {
+            return Err(AttemptError::NotRun(Code::Busy));
+        }
+    };
+    match acquired {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(AcquireError::Busy { retry_after })) => {
+            Err(AttemptError::Overloaded { retry_after })
+        }
+        Ok(Err(AcquireError::Refused(code))) => Err(AttemptError::NotRun(code)),
+        Ok(Err(AcquireError::Unreachable(problem))) => {
+            let endpoint = endpoint_pool.endpoint();
+            debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
+                "problem" => problem);
+            instance.primary_suspected.notify_one();
+            Err(AttemptError::Unreachable)
+        }
+        Err(_) => {
+            endpoint_pool.record_failure(instance.now());
+            instance.primary_suspected.notify_one();
+            Err(AttemptError::Unreachable)
+        }
+    }
+}
+
 /// Returns whether a statement may be sent as far as its primary is concerned.
 fn may_use(instance: &Instance, primary_ref: Option<&PrimaryRef>) -> bool {
     primary_ref.is_none_or(|primary| primary.is_current(instance))
