--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -65,11 +65,11 @@
 }
 
 #[test]
-fn a_refused_connection_is_reported_as_absent() {
+fn a_refused_connection_is_reported_as_refused() {
     run(async || {
         let address = check::free_address();
         let peers = Peers::default();
         let answer = peers.view(address, 0).await;
-        assert!(matches!(answer, Err(CallError::Absent)), "{answer:?}");
+        assert!(matches!(answer, Err(CallError::Refused)), "{answer:?}");
     });
 }
