Compare the positions of a primary with the term of its record

Right after a change of primary, instances asked the new primary for its status without cause: its position reaches its term only with its first commit, so the term of its answers rose. The record now holds the term that the primary stated when it was promoted, and only a later one raises a suspicion. Records of an earlier version have none, as before.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use filbertbay_state::position::Term;
 use serde::{Deserialize, Serialize};
 
 /// Longest time since the last contact with the store for which an instance may use a primary.
@@ -70,6 +71,9 @@
     /// Number of changes of this record before this one.
     #[serde(default)]
     pub change: u64,
+    /// Term that the primary stated when it was recorded, if it is known.
+    #[serde(default)]
+    pub term: Option<Term>,
 }
 
 impl PrimaryRecord {
--- a/crates/coordination/src/succession/overtaken.rs
+++ b/crates/coordination/src/succession/overtaken.rs
@@ -4,8 +4,9 @@
 //! recorded primary then becomes a replica of a later term, which nobody reports. Its answers to
 //! regular requests show it: it refuses writes as read-only, and its position is of a later term.
 //!
-//! The position of a primary may also reach its term only with its first commit. Answers therefore
-//! raise a suspicion, and the status of the member decides.
+//! The position of a primary reaches its term only with its first commit. Answers are therefore compared
+//! with the term of the record; where that is unknown, they may raise a suspicion without cause. The
+//! status of the member decides.
 //!
 //! # Examples
 //!
@@ -32,6 +33,14 @@
 }
 
 impl Detector {
+    /// Creates the detector of a primary that was recorded as leading `term`, if that is known.
+    pub fn new(term: Option<Term>) -> Self {
+        Self {
+            term,
+            is_suspect: false,
+        }
+    }
+
     /// Records the term of the position in an answer.
     pub fn record_term(&mut self, term: Term) {
         let first = *self.term.get_or_insert(term);
--- a/crates/coordination/tests/overtaken.rs
+++ b/crates/coordination/tests/overtaken.rs
@@ -14,6 +14,19 @@
     assert!(detector.is_suspect());
 }
 
+/// Guards against a status query by each instance after each promotion, when the first commit raises the
+/// term of the positions.
+#[test]
+fn the_first_commit_of_a_term_raises_no_suspicion() {
+    let mut detector = Detector::new(Some(Term(3)));
+    for term in [2, 3, 2, 3] {
+        detector.record_term(Term(term));
+        assert!(!detector.is_suspect());
+    }
+    detector.record_term(Term(4));
+    assert!(detector.is_suspect());
+}
+
 /// Guards against a status query for each answer of a primary whose position reaches its term with its
 /// first commit.
 #[test]
--- a/crates/entry/src/primary.rs
+++ b/crates/entry/src/primary.rs
@@ -44,7 +44,7 @@
         let term = position.map(|position| position.term);
         let is_read_only = refusal == Some(Code::ReadOnly);
         let leaders = &instance.leaders;
-        let (is_suspect, is_new) = leaders.record_answer(self, term, is_read_only);
+        let (is_suspect, is_new) = leaders.record_answer(instance, self, term, is_read_only);
         if is_new {
             instance.primary_suspected.notify_one();
         }
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -304,6 +304,7 @@
             from: from.clone(),
             holder: Arc::clone(&self.instance.settings().name),
             change: self.next_change(service),
+            term: None,
         };
         let release_record = self.write_record(service, &record).await?;
         self.wait_for_release(service, &release_record).await?;
@@ -314,10 +315,11 @@
         let (next, baseline) = self
             .select_successor(service, from.as_ref(), demoted)
             .await?;
-        self.promote(service, &next, baseline, lock).await?;
+        let term = self.promote(service, &next, baseline, lock).await?;
         let record = PrimaryRecord {
             phase: Phase::Leading(Arc::clone(&next.id)),
             change: record.change + 1,
+            term: Some(term),
             ..record
         };
         self.write_record(service, &record).await?;
--- a/crates/entry/src/succession/overtaken.rs
+++ b/crates/entry/src/succession/overtaken.rs
@@ -11,6 +11,7 @@
 
 use super::Coordinator;
 use super::evidence::status;
+use crate::instance::Instance;
 use crate::primary::PrimaryRef;
 
 /// What the answers of the recorded primaries tell.
@@ -33,11 +34,12 @@
     /// answer raised the suspicion.
     pub fn record_answer(
         &self,
+        instance: &Instance,
         primary: &PrimaryRef,
         term: Option<Term>,
         is_read_only: bool,
     ) -> (bool, bool) {
-        self.update(primary, |detector| {
+        self.update(instance, primary, |detector| {
             let was_suspect = detector.is_suspect();
             if let Some(term) = term {
                 detector.record_term(term);
@@ -50,19 +52,24 @@
         })
     }
 
-    fn is_suspect(&self, primary: &PrimaryRef) -> bool {
-        self.update(primary, |detector| detector.is_suspect())
+    fn is_suspect(&self, instance: &Instance, primary: &PrimaryRef) -> bool {
+        self.update(instance, primary, |detector| detector.is_suspect())
     }
 
-    fn update<F, R>(&self, primary: &PrimaryRef, change: F) -> R
+    fn update<F, R>(&self, instance: &Instance, primary: &PrimaryRef, change: F) -> R
     where
         F: FnOnce(&mut Detector) -> R,
     {
         let mut services = self.services.borrow_mut();
+        let term = {
+            let view = instance.view.borrow();
+            let stored = view.primary_record(&primary.service);
+            stored.and_then(|stored| stored.record.term)
+        };
         let new = || Leader {
             endpoint: Arc::clone(&primary.endpoint),
             revision: primary.revision,
-            detector: Detector::default(),
+            detector: Detector::new(term),
         };
         let leader = services
             .entry(Arc::clone(&primary.service))
@@ -87,7 +94,7 @@
     /// Returns whether answers of the primary of a service suggest that another member has overtaken it.
     pub(super) fn may_be_overtaken(&self, service: &Arc<str>) -> bool {
         let primary = self.primary_ref(service);
-        primary.is_some_and(|primary| self.instance.leaders.is_suspect(&primary))
+        primary.is_some_and(|primary| self.instance.leaders.is_suspect(&self.instance, &primary))
     }
 
     /// Returns whether the primary of a service states that it is a replica.
@@ -109,7 +116,9 @@
             "endpoint" => primary.endpoint.as_ref(), "role" => %status.role, "term" => status.term.0);
         if status.role == Role::Primary {
             let leaders = &self.instance.leaders;
-            leaders.update(&primary, |detector| detector.record_leading(status.term));
+            leaders.update(&self.instance, &primary, |detector| {
+                detector.record_leading(status.term);
+            });
         }
         status.role != Role::Primary
     }
--- a/crates/entry/src/succession/promotion.rs
+++ b/crates/entry/src/succession/promotion.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use filbertbay_coordination::succession::promotion::Baseline;
+use filbertbay_state::position::Term;
 use filbertbay_state::status::Role;
 use slog::{info, warn};
 
@@ -25,14 +26,14 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(150);
 
 impl Coordinator {
-    /// Orders the promotion and waits until the member proves that it is primary.
+    /// Orders the promotion, waits until the member proves that it is primary, and returns its term.
     pub(super) async fn promote(
         &self,
         service: &str,
         next: &Rc<Endpoint>,
         baseline: Baseline,
         lock: Held,
-    ) -> Result<(), &'static str> {
+    ) -> Result<Term, &'static str> {
         // Another change of this instance may have acquired the lock again, under a higher token.
         let confirmed = self.promotion_lock.confirm(&self.instance).await;
         if confirmed.is_none_or(|held| held.fence != lock.fence) {
@@ -59,7 +60,7 @@
         &self,
         next: &Rc<Endpoint>,
         baseline: Baseline,
-    ) -> Result<(), &'static str> {
+    ) -> Result<Term, &'static str> {
         let accepted_at = self.instance.now();
         let deadline = accepted_at + PROMOTION_TIMEOUT;
         let mut changed = self.instance.view_changed.subscribe();
@@ -92,7 +93,7 @@
             {
                 info!(self.instance.log, "successor leads"; "endpoint" => next.id.as_ref(),
                     "term" => status.term.0, "baseline" => ?baseline);
-                return Ok(());
+                return Ok(status.term);
             }
             query_at = now + QUERY_INTERVAL;
         }
