--- a/crates/entry/src/execution.rs
+++ b/crates/entry/src/execution.rs
@@ -160,30 +160,7 @@
     endpoint_pool: &Rc<EndpointPool>,
     execution: &Execution<'_>,
 ) -> Result<Executed, AttemptError> {
-    let demand = Demand {
-        workspace: execution.workspace,
-        limit: execution.limit,
-        priority: execution.priority,
-        deadline: execution.queue_end,
-        service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
-    };
-    // On the heap, as it would make the future of every session larger.
-    let acquired = Box::pin(instance.pool.acquire(endpoint_pool, &demand));
-    let time = execution.deadline.saturating_duration_since(instance.now());
-    let acquired = tokio::select! {
-        acquired = tokio::time::timeout(time, acquired) => acquired,
-        // A statement that still waits holds up no change of the primary.
-        () = wait_until_replaced(instance, execution.primary_ref) => {
-            return Err(AttemptError::NotRun(Code::Busy));
-        }
-    };
-    let acquired = acquired.unwrap_or_else(|_| {
-        endpoint_pool.record_failure(instance.now());
-        Err(AcquireError::Unreachable(
-            "no connection in time".to_owned(),
-        ))
-    });
-    let mut connection = acquired.map_err(|error| attempt_error(instance, endpoint_pool, error))?;
+    let mut connection = acquire(instance, endpoint_pool, execution).await?;
     let primary_ref = execution.primary_ref;
     let primary_use = primary_ref.map(|primary| PrimaryUse::begin(instance, primary));
     // The primary may have changed during the wait for a connection.
@@ -218,21 +195,46 @@
     }
 }
 
-/// Returns the error of an attempt that got no connection.
-fn attempt_error(
-    instance: &Instance,
-    endpoint_pool: &EndpointPool,
-    error: AcquireError,
-) -> AttemptError {
-    match error {
-        AcquireError::Busy { retry_after } => AttemptError::Overloaded { retry_after },
-        AcquireError::Refused(code) => AttemptError::NotRun(code),
-        AcquireError::Unreachable(problem) => {
+/// Waits for a connection on which a statement may run.
+async fn acquire(
+    instance: &Rc<Instance>,
+    endpoint_pool: &Rc<EndpointPool>,
+    execution: &Execution<'_>,
+) -> Result<PooledConnection, AttemptError> {
+    let demand = Demand {
+        workspace: execution.workspace,
+        limit: execution.limit,
+        priority: execution.priority,
+        deadline: execution.queue_end,
+        service_hint: Some(instance.expected_latency(endpoint_pool, instance.now())),
+    };
+    // On the heap, as it would make the future of every session larger.
+    let acquired = Box::pin(instance.pool.acquire(endpoint_pool, &demand));
+    let time = execution.deadline.saturating_duration_since(instance.now());
+    let acquired = tokio::select! {
+        acquired = tokio::time::timeout(time, acquired) => acquired,
+        // A statement that still waits holds up no change of the primary.
+        () = wait_until_replaced(instance, execution.primary_ref) => {
+            return Err(AttemptError::NotRun(Code::Busy));
+        }
+    };
+    match acquired {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(AcquireError::Busy { retry_after })) => {
+            Err(AttemptError::Overloaded { retry_after })
+        }
+        Ok(Err(AcquireError::Refused(code))) => Err(AttemptError::NotRun(code)),
+        Ok(Err(AcquireError::Unreachable(problem))) => {
             let endpoint = endpoint_pool.endpoint();
             debug!(instance.log, "endpoint not reached"; "endpoint" => endpoint.id.as_ref(),
                 "problem" => problem);
             instance.primary_suspected.notify_one();
-            AttemptError::Unreachable
+            Err(AttemptError::Unreachable)
+        }
+        Err(_) => {
+            endpoint_pool.record_failure(instance.now());
+            instance.primary_suspected.notify_one();
+            Err(AttemptError::Unreachable)
         }
     }
 }
