Let a process confirm the leases of others only once it was listed

What callers could see: a read of a former primary by an instance behind a partition, if instances beside it were started again after they had released the primary, and reached only this instance. They took over its view, knew nothing newer, and so confirmed its lease for up to 10 s after its last contact, while the change waited for 4 s.

Cause: any process that had some view confirmed, whoever had told it. Its predecessor's release counts for the change, but the process doesn't know of it. Class: the word of one process taken for that of the next.

Change: PrimaryLease::can_confirm. A process confirms from when it has seen its own entry in the store: it wrote that after its start, so it knows the store as of a time after its predecessor's release. A process that is about to exit no longer confirms, as it is not asked to release anything. Its contact and its view still serve others, dated by their age.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -85,6 +85,7 @@
     last_contact: Option<Instant>,
     last_peer_confirmation: Option<Instant>,
     is_listed: bool,
+    was_listed: bool,
     is_ended: bool,
 }
 
@@ -114,6 +115,17 @@
     /// not valid.
     pub fn set_listed(&mut self, is_listed: bool) {
         self.is_listed = is_listed;
+        self.was_listed |= is_listed;
+    }
+
+    /// Returns whether this process may confirm the leases of others.
+    ///
+    /// An earlier process of this instance may have released a primary. This one knows of that for
+    /// certain once it knows the store as of its own entry, which was written after its start. Before,
+    /// it may know only what an instance that is behind has told it. A process that is about to exit is
+    /// not asked to release primaries, so it may not know of a change.
+    pub fn can_confirm(&self) -> bool {
+        self.was_listed && !self.is_ended
     }
 
     /// Ends the lease for good, for a process that is about to exit.
--- a/crates/coordination/tests/succession.rs
+++ b/crates/coordination/tests/succession.rs
@@ -138,6 +138,32 @@
         history
     }
 
+    /// Returns the history with instances that release the primary at once, are then cut off and started
+    /// again, and know only what the missing ones tell them.
+    fn with_restarts(&self) -> Self {
+        let late = &self.late;
+        let mut history = self.clone();
+        for instance in 0..INSTANCES {
+            let is_cut_off = instance >= INSTANCES - late.cut_off;
+            let is_missing = instance >= INSTANCES - late.missing;
+            let start = if is_missing {
+                self.moved - late.before
+            } else {
+                self.moved + 1
+            };
+            let cut = if is_cut_off { (start, STEPS) } else { (0, 0) };
+            let fault = &mut history.faults[instance];
+            (fault.store, fault.side) = (cut, cut);
+            if is_cut_off {
+                fault.frozen = (0, 0);
+                let restart = (self.moved + 1, self.moved + 2 + late.after % 10);
+                fault.killed = if is_missing { (0, 0) } else { restart };
+            }
+            history.near[instance] = !is_cut_off;
+        }
+        history
+    }
+
     fn contains(span: (usize, usize), step: usize) -> bool {
         (span.0..span.1).contains(&step)
     }
@@ -146,6 +172,11 @@
         instance != 0 && Self::contains(self.faults[instance].frozen, step)
     }
 
+    /// Returns the first step from `step` on in which an instance is not frozen.
+    fn wakes_at(&self, instance: usize, step: usize) -> Option<usize> {
+        (step..STEPS).find(|step| !self.is_frozen(instance, *step))
+    }
+
     fn is_killed(&self, instance: usize, step: usize) -> bool {
         instance != 0 && Self::contains(self.faults[instance].killed, step)
     }
@@ -173,6 +204,23 @@
     }
 }
 
+/// Applies the answers of other instances.
+fn pull(leases: &mut [PrimaryLease], instance: usize, answering: &[usize], now: Instant) {
+    // A process that has just started takes over the view of another one, which may be behind.
+    let ages = answering
+        .iter()
+        .filter_map(|other| leases[*other].contact_age(now));
+    if let Some(age) = ages.min() {
+        leases[instance].record_contact(now.checked_sub(age).unwrap());
+    }
+    let confirming = answering
+        .iter()
+        .filter(|other| leases[**other].can_confirm());
+    if confirming.count() * 2 >= INSTANCES - 1 {
+        leases[instance].record_peer_confirmation(now);
+    }
+}
+
 /// Runs a history and returns true if no instance can use the old primary after the promotion.
 fn is_safe(history: &History) -> bool {
     let start = Instant::now();
@@ -205,29 +253,27 @@
                 knows_change[instance] |= step >= history.moved;
                 continue;
             }
-            // A process confirms others only once it has heard from the store itself.
             let others = (0..INSTANCES)
                 .filter(|other| *other != instance && leases[*other].contact_age(now).is_some());
             let answering: Vec<usize> = others
                 .filter(|other| history.can_reach(instance, *other, step))
                 .collect();
             knows_change[instance] |= answering.iter().any(|other| knows_change[*other]);
-            if answering.len() * 2 >= INSTANCES - 1 {
-                leases[instance].record_peer_confirmation(now);
-            }
+            pull(&mut leases, instance, &answering, now);
         }
         if step < history.moved {
             continue;
         }
         knows_change[0] = true;
-        for instance in 0..INSTANCES {
+        for name in barrier.pending().cloned().collect::<Vec<_>>() {
+            let instance = names.iter().position(|other| *other == name).unwrap();
             let answer = history.answer(0, instance, step);
             knows_change[instance] |= answer == Answer::Released;
-            barrier.record(now, &names[instance], answer);
+            barrier.record(now, &name, answer);
         }
         if barrier.is_complete(now) {
             let can_use = |instance: &usize| {
-                let wakes_at = (step..STEPS).find(|step| !history.is_frozen(*instance, *step));
+                let wakes_at = history.wakes_at(*instance, step);
                 // A frozen instance checks its lease when it wakes.
                 !knows_change[*instance]
                     && wakes_at.is_some_and(|step| leases[*instance].is_valid(at(step)))
@@ -242,7 +288,9 @@
 fn no_instance_uses_the_old_primary_after_a_promotion() {
     #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
     fn property(history: History) -> bool {
-        is_safe(&history) && is_safe(&history.with_late_releases())
+        is_safe(&history)
+            && is_safe(&history.with_late_releases())
+            && is_safe(&history.with_restarts())
     }
     runner(60).quickcheck(property as fn(History) -> bool);
 }
@@ -304,6 +352,25 @@
     assert!(!lease.is_valid(end) && barrier.is_complete(end));
 }
 
+/// Guards against a lease that is extended by a process which has just started and knows only what an
+/// instance that is behind has told it, while its predecessor had released the primary.
+#[test]
+fn a_process_confirms_others_only_once_it_was_listed() {
+    let start = Instant::now();
+    let mut lease = PrimaryLease::default();
+    lease.record_contact(start);
+    lease.set_listed(false);
+    assert!(
+        !lease.can_confirm(),
+        "the contact is that of another instance"
+    );
+    lease.set_listed(true);
+    lease.set_listed(false);
+    assert!(lease.can_confirm() && !lease.is_valid(start));
+    lease.end();
+    assert!(!lease.can_confirm(), "it is not asked to release primaries");
+}
+
 /// Guards against reads of a former primary by an instance behind a partition that resets
 /// connections: a refusal counted as a release, so that the change didn't wait for its lease.
 #[test]
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -70,6 +70,8 @@
     pub extent: Extent,
     /// Time since this was last known to be the state of the store.
     pub age: Duration,
+    /// Whether the answering process may confirm the primary leases of others.
+    pub can_confirm: bool,
 }
 
 /// Whether an instance gets answers from an endpoint.
@@ -265,7 +267,12 @@
     let extent = view.extent();
     let is_newer = known.is_some_and(|known| !known.covers(&extent));
     let items = is_newer.then(|| view.listing().items);
-    Some(ViewSnapshot { items, extent, age })
+    Some(ViewSnapshot {
+        items,
+        extent,
+        age,
+        can_confirm: view.primary_lease.can_confirm(),
+    })
 }
 
 /// Serves other instances until the process ends.
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -314,7 +314,7 @@
 struct Applied {
     /// This instance knows all that the store had at the peer's last contact with it.
     is_contact: bool,
-    /// This instance knows all that the peer knows.
+    /// This instance knows all that the peer knows, and the peer may confirm it.
     is_confirmation: bool,
 }
 
@@ -336,26 +336,21 @@
             "revision" => revision, "era" => era);
         return Applied::default();
     }
-    let is_contact = match snapshot.items {
-        Some(items) => {
-            debug!(instance.log, "view updated from another instance"; "peer" => %from,
-                "revision" => revision, "age_ms" => snapshot.age.as_millis() as u64);
-            instance.apply_listing(known_at, Listing { items, revision });
-            true
-        }
-        None => {
-            let known = instance.view.borrow().extent();
-            let is_contact = known.is_as_current_as(&snapshot.extent);
-            if is_contact {
-                instance.apply_events(known_at, Vec::new(), 0);
-            }
-            is_contact
-        }
+    let is_current = {
+        let known = instance.view.borrow().extent();
+        known.is_as_current_as(&snapshot.extent)
     };
+    if let Some(items) = snapshot.items {
+        debug!(instance.log, "view updated from another instance"; "peer" => %from,
+            "revision" => revision, "age_ms" => snapshot.age.as_millis() as u64);
+        instance.apply_listing(known_at, Listing { items, revision });
+    } else if is_current {
+        instance.apply_events(known_at, Vec::new(), 0);
+    }
     let known = instance.view.borrow().extent();
     Applied {
-        is_contact,
-        is_confirmation: known.covers(&snapshot.extent),
+        is_contact: known.is_as_current_as(&snapshot.extent),
+        is_confirmation: snapshot.can_confirm && known.covers(&snapshot.extent),
     }
 }
 
