Count few missing instances against the smallest fleet that any may know

Cause (found in review): the barrier counts a quarter of the instances that the changing one knows, while an instance that is cut off asks half of those that it knows for confirmations. If the fleet has grown by 2.5 times or more within 10 s, two that know only each other confirm one another, and their lease outlives the base wait by up to 6 s.

Change: the roster keeps the numbers of listed instances of the last 10 s, and few means a quarter of the smallest. Cost: after a stop of instances a change may wait 10 s in place of 4 s for one more missing instance. An instance that itself knows no earlier list can't count it.

--- a/crates/coordination/src/succession/release.rs
+++ b/crates/coordination/src/succession/release.rs
@@ -61,6 +61,8 @@
     /// Since when so few instances are missing that they can't be confirmed by half of the others.
     few_pending_since: Option<Instant>,
     not_before: Option<Instant>,
+    /// Smallest number that an instance may take for the size of the fleet.
+    fleet: usize,
 }
 
 impl Barrier {
@@ -75,6 +77,7 @@
         let answers: BTreeMap<Arc<str>, Answer> = instances.into_iter().map(unanswered).collect();
         Self {
             pending_count: answers.len(),
+            fleet: answers.len(),
             answers,
             recorded_at,
             few_pending_since: None,
@@ -89,6 +92,14 @@
         self
     }
 
+    /// Counts at most a quarter of `size` as few, if the fleet has had that size lately: an instance that
+    /// knows no later list asks half of that one for confirmations.
+    #[must_use]
+    pub fn smallest_fleet(mut self, size: usize) -> Self {
+        self.fleet = self.fleet.min(size);
+        self
+    }
+
     /// Records the answer of an instance that arrived at `now` or before. One that has released the
     /// primary doesn't take it back.
     pub fn record(&mut self, now: Instant, instance: &str, answer: Answer) {
@@ -102,7 +113,7 @@
         if answer == Answer::Released {
             self.pending_count -= 1;
         }
-        if self.pending_count * MISSING_DIVISOR <= self.answers.len() {
+        if self.pending_count * MISSING_DIVISOR <= self.fleet {
             self.few_pending_since.get_or_insert(now);
         }
     }
--- a/crates/coordination/tests/succession.rs
+++ b/crates/coordination/tests/succession.rs
@@ -397,3 +397,15 @@
     detector.record_answer(start + STEP * 2);
     assert!(!detector.is_suspect(start + STEP * 2) && !detector.is_failing());
 }
+
+#[test]
+fn few_instances_are_a_quarter_of_the_smallest_fleet() {
+    let start = Instant::now();
+    let names: Vec<Arc<str>> = (0..8).map(|i| format!("i-{i}").into()).collect();
+    let mut barrier = Barrier::new(start, names.iter().cloned()).smallest_fleet(2);
+    for name in names.iter().take(6) {
+        barrier.record(start, name, Answer::Released);
+    }
+    assert!(!barrier.is_complete(start + MAX_PRIMARY_LEASE.saturating_sub(STEP)));
+    assert!(barrier.is_complete(start + MAX_PRIMARY_LEASE));
+}
--- a/crates/entry/src/succession/release.rs
+++ b/crates/entry/src/succession/release.rs
@@ -31,7 +31,10 @@
         } else {
             started_at + MAX_PRIMARY_LEASE
         };
-        let mut barrier = Barrier::new(started_at, names).not_before(all_known_at);
+        let smallest_fleet = self.instance.view.borrow().roster.smallest_size();
+        let mut barrier = Barrier::new(started_at, names)
+            .not_before(all_known_at)
+            .smallest_fleet(smallest_fleet);
         loop {
             let pending: Vec<Arc<str>> = barrier.pending().cloned().collect();
             let requests = pending.iter().map(|name| {
--- a/crates/entry/src/view/roster.rs
+++ b/crates/entry/src/view/roster.rs
@@ -32,6 +32,10 @@
     listed: BTreeMap<Arc<str>, InstanceEntry>,
     /// Entries that were removed or replaced, with the time at which that was seen.
     former: Vec<(Arc<str>, InstanceEntry, Instant)>,
+    /// Time of the last change of the listed instances.
+    changed_at: Option<Instant>,
+    /// Earlier numbers of listed instances, with the time until which each was known.
+    former_sizes: Vec<(usize, Instant)>,
 }
 
 impl Roster {
@@ -40,6 +44,7 @@
     /// An entry at the same address ends the one before: the process listens there, so the former
     /// one has ended. One at another address does not, as the former process may be cut off.
     pub fn put(&mut self, now: Instant, name: &Arc<str>, entry: InstanceEntry) {
+        self.record_size(now);
         if let Some(last) = self.listed.remove(name) {
             self.former.push((Arc::clone(name), last, now));
         }
@@ -52,17 +57,35 @@
 
     /// Removes the entry of an instance, whose process may still run.
     pub fn remove(&mut self, now: Instant, name: &Arc<str>) {
+        self.record_size(now);
         if let Some(entry) = self.listed.remove(name) {
             self.former.push((Arc::clone(name), entry, now));
         }
     }
 
-    /// Forgets former entries whose primary lease has expired.
+    /// Forgets former entries and numbers from before the last contact of any valid primary lease.
     pub fn expire(&mut self, now: Instant) {
+        self.former_sizes
+            .retain(|(_, until)| now < *until + MAX_PRIMARY_LEASE);
         self.former
             .retain(|(_, _, since)| now < *since + MAX_PRIMARY_LEASE);
     }
 
+    /// Records the present number of listed instances before it changes, unless it was only known while
+    /// a listing is applied.
+    fn record_size(&mut self, now: Instant) {
+        if self.changed_at.replace(now).is_some_and(|at| at < now) {
+            self.former_sizes.push((self.listed.len(), now));
+        }
+    }
+
+    /// Returns the smallest number of instances that were listed in the last [`MAX_PRIMARY_LEASE`], for
+    /// which some instance may take the size of the fleet.
+    pub fn smallest_size(&self) -> usize {
+        let former = self.former_sizes.iter().map(|(size, _)| *size);
+        former.fold(self.listed.len(), usize::min)
+    }
+
     /// Returns the instances that the store lists.
     pub fn listed(&self) -> &BTreeMap<Arc<str>, InstanceEntry> {
         &self.listed
