Take no proof of lane ownership from a contact that shows this instance unlisted

What callers could see: more statements than a workspace's rate (rule QUOTA). An instance that can't reach the store, and whose entry ended, went on lending its lanes as long as it reached others, and for 9.5 s after; they may assign these lanes anew 12 s after its entry was gone.

Cause: each contact proved ownership, whatever it showed of this instance's own entry. Class: evidence about one thing taken as evidence about all.

Change: only a contact that lists this instance counts, so the proof ends 9.5 s after the last of these.

Evidence: platform/evidence::an_unlisted_instance_gets_no_new_proof_that_it_owns_its_lanes failed before ("assertion failed: !far.quota.is_ownership_confirmed(far.now())") and passes; platform/path (21), era (9) and view (3) pass. Lanes that two instances really spent were not played.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -274,7 +274,10 @@
             // Until then a newer record or allocation may be missing.
             if view.is_era_confirmed() {
                 view.primary_lease.record_contact(queried_at);
-                self.quota.confirm_ownership(queried_at);
+                // Others may claim the lanes of an unlisted instance.
+                if is_listed {
+                    self.quota.confirm_ownership(queried_at);
+                }
             }
         }
         self.trace.record_lease(self);
