Cut instances off each other in the soak, and read what others wrote

The soak had no partition between instances: they called each other directly. Its callers read only their own item, one after another, so that a read at an instance that missed a change of primary hardly ever asked for a write that another instance had acknowledged.

Change: a proxy stands between each pair of instances and between each instance and each member. The stand-in store names another host to each instance in the addresses, so that a cut may concern one pair, one way or both ways, and nobody listens where it refuses. Cuts and planned changes of primary (draining, evacuation) of two services come in series from random streams of their own; a former primary stays a replica that receives nothing for a while. Eight instances in three data centres; one reader at each keeps its connections on the primary route; every read shows all writes of its item that were acknowledged anywhere before its first byte.

The load's items, the second service and the number of instances change what a seed plays; the draws of the old faults stay in their order.

--- a/crates/filbertbay/tests/soak.rs
+++ b/crates/filbertbay/tests/soak.rs
@@ -6,7 +6,8 @@
 //! ([`verdict`]). The seed determines the faults and the load, but not the timing of the processes.
 //!
 //! `SOAK_SEED=7 SOAK_RUNS=50 SOAK_SECONDS=20 cargo test --release --test soak -- --ignored --nocapture`
-//! runs many seeds by hand. A failed run keeps the logs of its instances and prints their directory.
+//! runs many seeds by hand; `SOAK_INSTANCES` sets the number of instances, and `SOAK_PROGRAM` the path of
+//! another build of the program. A failed run keeps the logs of its instances and prints their directory.
 
 #[path = "../../../platform/tests/common/mod.rs"]
 mod common;
@@ -17,6 +18,10 @@
 mod fleet;
 #[path = "soak/load.rs"]
 mod load;
+#[path = "soak/network.rs"]
+mod network;
+#[path = "soak/partition.rs"]
+mod partition;
 #[path = "soak/proxy.rs"]
 mod proxy;
 #[path = "soak/verdict.rs"]
@@ -31,12 +36,16 @@
 use tokio::sync::RwLock;
 use tokio::task::LocalSet;
 
+use common::member::Group;
 use common::{OTHER_KEY, TestCluster};
 use fleet::Fleet;
-use load::{Caller, SentStatement};
-use proxy::Proxy;
+use load::{AcknowledgedWrite, Caller, SentStatement};
+use network::{Hosts, Network};
 
-/// Number of concurrent callers in each run.
+/// Number of instances in each run, unless `SOAK_INSTANCES` is set.
+const INSTANCE_COUNT: u64 = 8;
+
+/// Number of concurrent callers in each run, besides a reader at each instance.
 const CALLER_COUNT: usize = 16;
 
 /// Longest wait until all instances serve again. The guarantee is 12 s on an otherwise idle machine.
@@ -57,8 +66,11 @@
 struct Soak {
     cluster: TestCluster,
     fleet: RefCell<Fleet>,
-    /// Proxies between the instances and the members, by index of the member.
-    member_proxies: Vec<Proxy>,
+    /// Members by service.
+    groups: Vec<Group>,
+    network: Network,
+    /// Acknowledged writes of each caller's item, oldest first.
+    acknowledged: RefCell<Vec<Vec<AcknowledgedWrite>>>,
     statements: RefCell<Vec<SentStatement>>,
     is_finished: Cell<bool>,
     last_id: Cell<u64>,
@@ -71,22 +83,32 @@
 impl Soak {
     async fn start() -> Rc<Self> {
         let cluster = TestCluster::start().await;
-        cluster.group.keep_former_primaries();
-        let mut member_proxies = Vec::new();
-        for (index, member) in cluster.group.members.iter().enumerate() {
-            let proxy = Proxy::bind(member.address).await;
-            cluster.group.advertise_at(index, proxy.address);
-            member_proxies.push(proxy);
+        let archive = Group::start_service("catalogue-archive", "a", 3).await;
+        cluster.platform.add_group(archive.clone());
+        archive.publish_entries_to(cluster.platform.clone());
+        let groups = vec![cluster.group.clone(), archive];
+        for (service, group) in groups.iter().enumerate() {
+            group.keep_former_primaries();
+            for member in 0..group.members.len() {
+                let data_centre = (service + member) % fleet::DATA_CENTRES.len();
+                let zone = &group.members[member].zone;
+                zone.set(fleet::DATA_CENTRES[data_centre]);
+            }
         }
+        let count = env_or("SOAK_INSTANCES", INSTANCE_COUNT) as usize;
+        let hosts = Hosts::allocate();
+        let network = Network::start(hosts, count, &groups).await;
         let workspaces = [("shop", &[common::KEY][..]), ("stall", &[OTHER_KEY][..])];
         cluster
             .platform
-            .put("op/config", &common::config_with_workspaces(1, &workspaces));
-        let fleet = Fleet::start(&cluster).await;
+            .put("op/config", &fleet::config(1, &workspaces));
+        let fleet = Fleet::start(&cluster, hosts, count).await;
         Rc::new(Self {
             cluster,
             fleet: RefCell::new(fleet),
-            member_proxies,
+            groups,
+            network,
+            acknowledged: RefCell::new((0..CALLER_COUNT).map(|_| Vec::new()).collect()),
             statements: RefCell::default(),
             is_finished: Cell::default(),
             last_id: Cell::default(),
@@ -118,7 +140,8 @@
             .iter_mut()
             .for_each(fleet::Instance::start);
         let deadline = Instant::now() + RECOVERY_TIMEOUT;
-        for instance in 0..fleet::DATA_CENTRES.len() {
+        let instance_count = self.network.peers.len();
+        for instance in 0..instance_count {
             while !self.is_serving(instance).await {
                 if Instant::now() >= deadline {
                     return false;
@@ -133,21 +156,22 @@
     async fn is_serving(&self, instance: usize) -> bool {
         let address = self.fleet.borrow().instances[instance].caller_proxy.address;
         let probe = async {
-            let (mut caller, first_line) =
-                common::Caller::connect(address, "orders", OTHER_KEY).await;
-            if !first_line.starts_with("READY") {
-                return false;
-            }
-            let write = format!("WRITE probe d{}", self.next_id());
-            for text in [write.as_str(), "READ probe"] {
-                let id = format!("{:x}", self.next_id());
-                self.statements
-                    .borrow_mut()
-                    .push(load::probe_statement(&id, text));
-                let answer = caller.query_with_id(&id, text).await;
-                if !answer.iter().any(|line| line.starts_with("COMPLETE")) {
+            for (service, [database, _]) in fleet::DATABASES.into_iter().enumerate() {
+                let (mut caller, first_line) =
+                    common::Caller::connect(address, database, OTHER_KEY).await;
+                if !first_line.starts_with("READY") {
                     return false;
                 }
+                let write = format!("WRITE probe d{}", self.next_id());
+                for text in [write.as_str(), "READ probe"] {
+                    let id = format!("{:x}", self.next_id());
+                    let probe = load::probe_statement(&id, service, text);
+                    self.statements.borrow_mut().push(probe);
+                    let answer = caller.query_with_id(&id, text).await;
+                    if !answer.iter().any(|line| line.starts_with("COMPLETE")) {
+                        return false;
+                    }
+                }
             }
             true
         };
@@ -170,6 +194,12 @@
         let rng = ChaCha8Rng::from_rng(&mut rng);
         callers.spawn_local(Caller::new(Rc::clone(&soak), index, rng).run());
     }
+    for instance in 0..soak.network.peers.len() {
+        let mut rng = rng.clone();
+        rng.set_stream(5 + instance as u64);
+        let reader = Caller::new(Rc::clone(&soak), instance, rng);
+        callers.spawn_local(reader.read_latest(instance));
+    }
     fault::inject(&soak, rng, duration).await;
     soak.record_event("all faults have ended");
     if !soak.wait_until_recovered().await {
--- a/crates/filbertbay/tests/soak/fault.rs
+++ b/crates/filbertbay/tests/soak/fault.rs
@@ -9,8 +9,10 @@
 
 use super::Soak;
 use super::common::store::StoreMode;
-use super::common::{KEY, OTHER_KEY, config_with_workspaces};
-use super::proxy::NetworkCondition;
+use super::common::{KEY, OTHER_KEY};
+use super::fleet;
+use super::partition::{self, MemberLocks};
+use super::proxy::{NetworkCondition, Proxy};
 
 /// Range of the interval between the starts of two faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 150..1_400;
@@ -42,9 +44,26 @@
     if returns.random() {
         faults.spawn_local(return_store(Rc::clone(soak), returns, deadline));
     }
-    // Only one member fails at a time: with two of three down, correctness is guaranteed but not
-    // availability.
-    let member_lock = Rc::new(Mutex::new(()));
+    // Only one member of a service fails at a time: with two of three down, correctness is guaranteed
+    // but not availability.
+    let locks: MemberLocks = Rc::new(soak.groups.iter().map(|_| Rc::default()).collect());
+    let mut streams = [2, 3, 4].map(|stream| {
+        let mut rng = rng.clone();
+        rng.set_stream(stream);
+        rng
+    });
+    let [cuts, changes, services] = &mut streams;
+    faults.spawn_local(partition::cut_instances(
+        Rc::clone(soak),
+        cuts.clone(),
+        deadline,
+    ));
+    faults.spawn_local(partition::change_primaries(
+        Rc::clone(soak),
+        Rc::clone(&locks),
+        changes.clone(),
+        deadline,
+    ));
     let mut version = 1;
     while tokio::time::Instant::now() < deadline {
         let interval = Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
@@ -53,21 +72,19 @@
         let instance = rng.random_range(0..soak.fleet.borrow().instances.len());
         let member = rng.random_range(0..soak.cluster.group.members.len());
         let kind = rng.random_range(0..15);
+        let service = services.random_range(0..soak.groups.len());
         soak.record_event(&format!(
-            "fault {kind} instance {instance} member {member} for {duration:?}"
+            "fault {kind} instance {instance} service {service} member {member} for {duration:?}"
         ));
-        let (soak, member_lock) = (Rc::clone(soak), Rc::clone(&member_lock));
+        let (soak, member_lock) = (Rc::clone(soak), Rc::clone(&locks[service]));
         match kind {
             0 => drop(faults.spawn_local(terminate(soak, instance))),
             1 => drop(faults.spawn_local(pause_process(soak, instance, duration))),
             2 | 3 => drop(faults.spawn_local(kill(soak, instance, duration / 3))),
             4 => soak.fleet.borrow_mut().instances[instance].send_signal("-HUP"),
-            5 => drop(faults.spawn_local(crash(soak, member_lock, member))),
-            6 => drop(faults.spawn_local(stall_replication(soak, member_lock, member))),
-            7 => soak
-                .cluster
-                .group
-                .lose_answers(member, rng.random_range(1..4)),
+            5 => drop(faults.spawn_local(crash(soak, member_lock, service, member))),
+            6 => drop(faults.spawn_local(stall_replication(soak, member_lock, service, member))),
+            7 => soak.groups[service].lose_answers(member, rng.random_range(1..4)),
             8 | 9 => drop(faults.spawn_local(fail_store(soak, rng.random(), duration))),
             10 => soak.cluster.platform.lose_answers(rng.random_range(1..3)),
             11 => soak.cluster.platform.compact(),
@@ -78,12 +95,17 @@
                 } else {
                     &[KEY, "spare"]
                 };
-                let text =
-                    config_with_workspaces(version, &[("shop", keys), ("stall", &[OTHER_KEY])]);
+                let text = fleet::config(version, &[("shop", keys), ("stall", &[OTHER_KEY])]);
                 soak.cluster.platform.put("op/config", &text);
             }
             13 => {
-                drop(faults.spawn_local(blackhole(soak, instance, member, rng.random(), duration)));
+                drop(faults.spawn_local(blackhole(
+                    soak,
+                    instance,
+                    (service, member),
+                    rng.random(),
+                    duration,
+                )));
             }
             _ => drop(faults.spawn_local(degrade_store(
                 soak,
@@ -142,22 +164,28 @@
     soak.fleet.borrow_mut().instances[instance].send_signal("-CONT");
 }
 
-async fn crash(soak: Rc<Soak>, member_lock: Rc<Mutex<()>>, member: usize) {
+async fn crash(soak: Rc<Soak>, member_lock: Rc<Mutex<()>>, service: usize, member: usize) {
     let _guard = member_lock.lock().await;
-    soak.cluster.group.crash(member);
+    soak.groups[service].crash(member);
     tokio::time::sleep(MEMBER_FAULT_DURATION).await;
-    soak.cluster.group.restart(member).await;
+    soak.groups[service].restart(member).await;
 }
 
 /// Pauses replication to a member for [`MEMBER_FAULT_DURATION`]; does nothing if it is the primary.
-async fn stall_replication(soak: Rc<Soak>, member_lock: Rc<Mutex<()>>, member: usize) {
+async fn stall_replication(
+    soak: Rc<Soak>,
+    member_lock: Rc<Mutex<()>>,
+    service: usize,
+    member: usize,
+) {
     let _guard = member_lock.lock().await;
-    if soak.cluster.group.primary() == member {
+    let group = &soak.groups[service];
+    if group.primary() == member {
         return;
     }
-    soak.cluster.group.pause_replication(member);
+    group.pause_replication(member);
     tokio::time::sleep(MEMBER_FAULT_DURATION).await;
-    soak.cluster.group.resume_replication(member);
+    group.resume_replication(member);
 }
 
 async fn fail_store(soak: Rc<Soak>, is_unresponsive: bool, duration: Duration) {
@@ -197,18 +225,24 @@
 async fn blackhole(
     soak: Rc<Soak>,
     instance: usize,
-    member: usize,
+    (service, member): (usize, usize),
     is_caller_side: bool,
     duration: Duration,
 ) {
-    let proxy = if is_caller_side {
-        soak.fleet.borrow().instances[instance].caller_proxy.clone()
+    let proxies: Vec<Proxy> = if is_caller_side {
+        vec![soak.fleet.borrow().instances[instance].caller_proxy.clone()]
     } else {
-        soak.member_proxies[member].clone()
+        let instances = soak.network.members.iter();
+        instances
+            .map(|services| services[service][member].clone())
+            .collect()
     };
-    proxy.set_condition(NetworkCondition::Blackhole);
+    let cut = |proxy: &Proxy| proxy.set_condition(NetworkCondition::Blackhole);
+    let changes: Vec<u64> = proxies.iter().map(cut).collect();
     tokio::time::sleep(duration).await;
-    proxy.set_condition(NetworkCondition::Normal);
+    for (proxy, change) in proxies.iter().zip(changes) {
+        proxy.lift(change);
+    }
 }
 
 async fn degrade_store(
@@ -218,7 +252,7 @@
     duration: Duration,
 ) {
     let proxy = soak.fleet.borrow().instances[instance].store_proxy.clone();
-    proxy.set_condition(condition);
+    let change = proxy.set_condition(condition);
     tokio::time::sleep(duration).await;
-    proxy.set_condition(NetworkCondition::Normal);
+    proxy.lift(change);
 }
--- a/crates/filbertbay/tests/soak/fleet.rs
+++ b/crates/filbertbay/tests/soak/fleet.rs
@@ -2,23 +2,52 @@
 //! store.
 
 use std::fs::File;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-use check::free_address;
-use serde_json::json;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use super::common::TestCluster;
+use super::common::{TestCluster, config_with_workspaces};
+use super::network::Hosts;
 use super::proxy::Proxy;
 
-/// Data centre of each instance; two instances share one.
-pub const DATA_CENTRES: [&str; 3] = ["quimper", "quimper", "nantes"];
+/// Data centres, to which instances and members are assigned in turn.
+pub const DATA_CENTRES: [&str; 3] = ["quimper", "nantes", "caen"];
+
+/// Databases with the route for the latest data and the one for own writes, by service.
+pub const DATABASES: [[&str; 2]; 2] = [["orders", "picks"], ["orders-archive", "picks-archive"]];
+
+/// Returns a configuration with the given workspaces, in which a second service has routes like those
+/// of the first.
+pub fn config(version: u64, workspaces: &[(&str, &[&str])]) -> String {
+    let text = config_with_workspaces(version, workspaces);
+    let mut config: Value = serde_json::from_str(&text).unwrap();
+    for (list, fields) in [
+        ("routes", &["name", "host", "service"][..]),
+        ("services", &["name"]),
+    ] {
+        let rows = config[list].as_array_mut().unwrap();
+        let mut copies = rows.clone();
+        for copy in &mut copies {
+            for field in fields {
+                copy[*field] = format!("{}-archive", copy[*field].as_str().unwrap()).into();
+            }
+        }
+        rows.append(&mut copies);
+    }
+    config.to_string()
+}
+
+/// First ports of the listeners for callers, readiness and metrics.
+const OWN_PORTS: [u16; 3] = [7_200, 7_400, 7_600];
 
 /// Entry instance that runs as a child process.
 pub struct Instance {
     /// Proxy in front of the listener for callers.
     pub caller_proxy: Proxy,
+    pub data_centre: &'static str,
     /// Proxy between this instance and the store.
     pub store_proxy: Proxy,
     settings_path: PathBuf,
@@ -42,20 +71,26 @@
 
 impl Fleet {
     /// Writes the settings of the instances and starts them.
-    pub async fn start(cluster: &TestCluster) -> Self {
+    pub async fn start(cluster: &TestCluster, hosts: Hosts, count: usize) -> Self {
         let mut fleet = Self {
             instances: Vec::new(),
             directory: TempDir::new().unwrap(),
         };
-        for (index, data_centre) in DATA_CENTRES.iter().enumerate() {
+        let address = |port: u16| SocketAddr::from((hosts.advertised(), port));
+        for index in 0..count {
+            let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
             let name = format!("{data_centre}-{index}");
-            let caller_address = free_address();
-            let store_proxy = Proxy::bind(cluster.platform.address).await;
+            let ports = OWN_PORTS.map(|first| first + index as u16);
+            let [caller_address, readiness, metrics] = ports.map(address);
+            let own_host = hosts.of_instance(index);
+            let store = cluster.platform.listen_for(hosts.advertised(), own_host);
+            let store_proxy = Proxy::bind(store.await).await;
             let settings = json!({
                 "name": name, "data_centre": data_centre,
-                "data_centres": {"quimper": "bretagne", "nantes": "pays-loire"},
-                "callers": caller_address, "readiness": free_address(), "readiness_path": "/ready",
-                "peers": free_address(), "metrics": free_address(), "seeds": [],
+                "data_centres": {"quimper": "bretagne", "nantes": "pays-loire",
+                    "caen": "normandie"},
+                "callers": caller_address, "readiness": readiness, "readiness_path": "/ready",
+                "peers": hosts.peer(index), "metrics": metrics, "seeds": [],
                 "store": store_proxy.address, "failover": store_proxy.address,
                 "grace_s": 6, "leave_ms": 7000, "file_limit": 4200
             });
@@ -64,6 +99,7 @@
             let mut instance = Instance {
                 log_path: fleet.directory.path().join(format!("{name}.log")),
                 caller_proxy: Proxy::bind(caller_address).await,
+                data_centre,
                 store_proxy,
                 settings_path: path,
                 child: None,
@@ -91,7 +127,9 @@
             .create(true)
             .append(true)
             .open(&self.log_path);
-        let child = Command::new(env!("CARGO_BIN_EXE_filbertbay"))
+        let program = std::env::var("SOAK_PROGRAM");
+        let program = program.unwrap_or(env!("CARGO_BIN_EXE_filbertbay").to_owned());
+        let child = Command::new(program)
             .args(["entry", "--settings"])
             .arg(&self.settings_path)
             .stdout(log.unwrap())
--- a/crates/filbertbay/tests/soak/load.rs
+++ b/crates/filbertbay/tests/soak/load.rs
@@ -10,6 +10,7 @@
 
 use super::Soak;
 use super::common::{KEY, OTHER_KEY};
+use super::fleet::DATABASES;
 
 /// Longest wait of a caller for a response, twice the timeouts of the routes.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -23,6 +24,9 @@
 /// Upper bound (exclusive) of the think time between two statements, in milliseconds.
 const MAX_THINK_MS: u64 = 60;
 
+/// Pause of a reader between two reads, which keeps it within the rate of its workspace.
+const READ_INTERVAL: Duration = Duration::from_millis(15);
+
 /// Name and caller key of each workspace.
 pub const WORKSPACES: [(&str, &str); 2] = [("shop", KEY), ("stall", OTHER_KEY)];
 
@@ -42,35 +46,38 @@
 pub struct SentStatement {
     pub id: String,
     pub workspace: &'static str,
+    /// Index of the service that executes the statement.
+    pub service: usize,
     pub text: String,
     /// Id of the statement's transaction, if it belongs to one.
     pub transaction: Option<u64>,
     pub sent_at: Instant,
     pub answered_at: Instant,
     pub outcome: Outcome,
-    /// Values of this caller's writes to the item that a read must reflect, oldest first; empty for
-    /// other statements.
-    pub required_writes: Vec<String>,
+    /// Writer of the item that a read asks for, and how many of its acknowledged writes the read must
+    /// reflect.
+    pub required: Option<(usize, usize)>,
 }
 
 /// Write that was acknowledged to its caller.
-struct AcknowledgedWrite {
-    data: String,
+pub struct AcknowledgedWrite {
+    pub data: String,
     session: u64,
     acknowledged_at: Instant,
 }
 
 /// Returns the record of a recovery probe. Its outcome is `Unknown`: responses to probes are not checked.
-pub fn probe_statement(id: &str, text: &str) -> SentStatement {
+pub fn probe_statement(id: &str, service: usize, text: &str) -> SentStatement {
     SentStatement {
         id: id.to_owned(),
         workspace: WORKSPACES[1].0,
+        service,
         text: text.to_owned(),
         transaction: None,
         sent_at: Instant::now(),
         answered_at: Instant::now(),
         outcome: Outcome::Unknown,
-        required_writes: Vec::new(),
+        required: None,
     }
 }
 
@@ -131,13 +138,13 @@
     }
 }
 
-/// Simulated caller, which alone reads and writes its item.
+/// Simulated caller, which alone writes its item and reads those of all callers of its service.
 pub struct Caller {
     soak: Rc<Soak>,
     index: usize,
     rng: ChaCha8Rng,
-    /// Acknowledged writes to the item, oldest first.
-    acknowledged: Vec<AcknowledgedWrite>,
+    /// Selects the items to read.
+    item_rng: ChaCha8Rng,
     session: u64,
     /// Whether the session's route guarantees that reads show the latest writes of all sessions.
     is_latest_route: bool,
@@ -145,11 +152,13 @@
 
 impl Caller {
     pub fn new(soak: Rc<Soak>, index: usize, rng: ChaCha8Rng) -> Self {
+        let mut item_rng = rng.clone();
+        item_rng.set_stream(rng.get_stream() + 1);
         Self {
             soak,
             index,
             rng,
-            acknowledged: Vec::new(),
+            item_rng,
             session: 0,
             is_latest_route: false,
         }
@@ -167,12 +176,8 @@
         let (_, key) = WORKSPACES[self.index % WORKSPACES.len()];
         self.is_latest_route = self.rng.random();
         self.session = self.soak.next_id();
-        let route = if self.is_latest_route {
-            "orders"
-        } else {
-            "picks"
-        };
-        let instance = self.rng.random_range(0..super::fleet::DATA_CENTRES.len());
+        let route = DATABASES[self.service()][usize::from(!self.is_latest_route)];
+        let instance = self.rng.random_range(0..self.soak.network.peers.len());
         let Some(mut connection) = Connection::connect(&self.soak, instance, route, key).await
         else {
             return;
@@ -193,6 +198,29 @@
         }
     }
 
+    /// Reads on the route for the latest data at one instance until the soak is finished, on each
+    /// connection for as long as it is usable.
+    pub async fn read_latest(mut self, instance: usize) {
+        let (_, key) = WORKSPACES[self.index % WORKSPACES.len()];
+        let route = DATABASES[self.service()][0];
+        self.is_latest_route = true;
+        while !self.soak.is_finished.get() {
+            if let Some(mut connection) =
+                Connection::connect(&self.soak, instance, route, key).await
+            {
+                while !self.soak.is_finished.get() && self.read(&mut connection).await {
+                    tokio::time::sleep(READ_INTERVAL).await;
+                }
+            }
+            tokio::time::sleep(RECONNECT_DELAY).await;
+        }
+    }
+
+    /// Returns the index of the service that this caller uses.
+    fn service(&self) -> usize {
+        self.index / WORKSPACES.len() % DATABASES.len()
+    }
+
     fn item(&self) -> String {
         format!("item-{}", self.index)
     }
@@ -200,7 +228,7 @@
     async fn write(&mut self, connection: &mut Connection) -> bool {
         let data = format!("d{}", self.soak.next_id());
         let text = format!("WRITE {} {data}", self.item());
-        let (outcome, is_usable) = self.execute(connection, &text, None, Vec::new()).await;
+        let (outcome, is_usable) = self.execute(connection, &text, None, None).await;
         if matches!(outcome, Outcome::Completed(_)) {
             self.record_acknowledged(data);
         }
@@ -208,38 +236,41 @@
     }
 
     async fn read(&mut self, connection: &mut Connection) -> bool {
-        let text = format!("READ {}", self.item());
-        let required_writes = self.required_writes();
-        self.execute(connection, &text, None, required_writes)
-            .await
-            .1
+        let (text, required) = self.random_read();
+        let (_, is_usable) = self.execute(connection, &text, None, required).await;
+        is_usable
     }
 
     fn record_acknowledged(&mut self, data: String) {
-        self.acknowledged.push(AcknowledgedWrite {
+        self.soak.acknowledged.borrow_mut()[self.index].push(AcknowledgedWrite {
             data,
             session: self.session,
             acknowledged_at: Instant::now(),
         });
     }
 
-    /// Returns the writes that a read must reflect: all of them on the route for latest data, otherwise
-    /// those of this session and those acknowledged more than [`MAX_STALENESS`] ago.
-    fn required_writes(&self) -> Vec<String> {
-        let is_required = |write: &&AcknowledgedWrite| {
+    /// Returns a read of an item of this service, and the writes that it must reflect: all of them on the
+    /// route for latest data, otherwise those of this session and those acknowledged more than
+    /// [`MAX_STALENESS`] ago.
+    fn random_read(&mut self) -> (String, Option<(usize, usize)>) {
+        let acknowledged = self.soak.acknowledged.borrow();
+        let group_size = WORKSPACES.len();
+        let of_service = |writer: &usize| writer / group_size % DATABASES.len() == self.service();
+        let writers: Vec<usize> = (0..acknowledged.len()).filter(of_service).collect();
+        let writer = writers[self.item_rng.random_range(0..writers.len())];
+        let is_required = |write: &AcknowledgedWrite| {
             self.is_latest_route
                 || write.session == self.session
                 || write.acknowledged_at.elapsed() > MAX_STALENESS
         };
-        let writes = self.acknowledged.iter().filter(is_required);
-        writes.map(|write| write.data.clone()).collect()
+        let last = acknowledged[writer].iter().rposition(is_required);
+        let count = last.map_or(0, |last| last + 1);
+        (format!("READ item-{writer}"), Some((writer, count)))
     }
 
     async fn transaction(&mut self, connection: &mut Connection) -> bool {
         let transaction = Some(self.soak.next_id());
-        let (outcome, is_usable) = self
-            .execute(connection, "BEGIN", transaction, Vec::new())
-            .await;
+        let (outcome, is_usable) = self.execute(connection, "BEGIN", transaction, None).await;
         if !is_usable || !matches!(outcome, Outcome::Completed(_)) {
             return is_usable;
         }
@@ -247,9 +278,7 @@
         for _ in 0..self.rng.random_range(1..4) {
             let data = format!("d{}", self.soak.next_id());
             let text = format!("WRITE {} {data}", self.item());
-            let (outcome, is_usable) = self
-                .execute(connection, &text, transaction, Vec::new())
-                .await;
+            let (outcome, is_usable) = self.execute(connection, &text, transaction, None).await;
             if !is_usable || !matches!(outcome, Outcome::Completed(_)) {
                 return false;
             }
@@ -258,7 +287,7 @@
             tokio::time::sleep(Duration::from_millis(think_ms)).await;
         }
         let end = ["COMMIT", "COMMIT", "COMMIT", "ROLLBACK"][self.rng.random_range(0..4)];
-        let (outcome, is_usable) = self.execute(connection, end, transaction, Vec::new()).await;
+        let (outcome, is_usable) = self.execute(connection, end, transaction, None).await;
         if end == "COMMIT" && matches!(outcome, Outcome::Completed(_)) {
             for data in written {
                 self.record_acknowledged(data);
@@ -272,7 +301,7 @@
         connection: &mut Connection,
         text: &str,
         transaction: Option<u64>,
-        required_writes: Vec<String>,
+        required: Option<(usize, usize)>,
     ) -> (Outcome, bool) {
         let id = format!("{:x}", self.soak.next_id());
         let sent_at = Instant::now();
@@ -280,12 +309,13 @@
         self.soak.statements.borrow_mut().push(SentStatement {
             id,
             workspace: WORKSPACES[self.index % WORKSPACES.len()].0,
+            service: self.service(),
             text: text.to_owned(),
             transaction,
             sent_at,
             answered_at: Instant::now(),
             outcome: outcome.clone(),
-            required_writes,
+            required,
         });
         (outcome, is_usable)
     }
--- a/crates/filbertbay/tests/soak/verdict.rs
+++ b/crates/filbertbay/tests/soak/verdict.rs
@@ -7,7 +7,7 @@
 use super::Soak;
 use super::common::member::{Entry, ExecutedStatement};
 use super::common::{KEY, OTHER_KEY, RATE};
-use super::load::{Outcome, SentStatement};
+use super::load::{AcknowledgedWrite, Outcome, SentStatement};
 
 /// Codes of refusals that guarantee that the write is not committed.
 const NOT_COMMITTED_CODES: [&str; 6] = [
@@ -29,27 +29,29 @@
 /// Returns one line for each violation of a guarantee.
 pub fn find_violations(soak: &Soak) -> Vec<String> {
     let statements = soak.statements.borrow();
-    let group = &soak.cluster.group;
-    let executed_statements: Vec<ExecutedStatement> = (0..group.members.len())
-        .flat_map(|member| group.executed(member))
+    let executed_statements: Vec<ExecutedStatement> = soak
+        .groups
+        .iter()
+        .flat_map(|group| (0..group.members.len()).flat_map(|member| group.executed(member)))
         .collect();
-    let log = group.log(group.primary());
     let mut violations = Vec::new();
     check_executed_statements(&statements, &executed_statements, &mut violations);
     check_key_leaks(soak, &mut violations);
-    check_writes(
-        &statements,
-        &log,
-        &group.discarded_writes(),
-        &mut violations,
-    );
-    check_superseded_writes(&statements, &group.superseded_writes(), &mut violations);
-    check_reads(
-        &statements,
-        &log,
-        &group.discarded_writes(),
-        &mut violations,
-    );
+    for (service, group) in soak.groups.iter().enumerate() {
+        let of_service = statements.iter().filter(|one| one.service == service);
+        let statements: Vec<SentStatement> = of_service.cloned().collect();
+        let log = group.log(group.primary());
+        let discarded = group.discarded_writes();
+        check_writes(&statements, &log, &discarded, &mut violations);
+        check_superseded_writes(&statements, &group.superseded_writes(), &mut violations);
+        check_reads(
+            &statements,
+            &soak.acknowledged.borrow(),
+            &log,
+            &discarded,
+            &mut violations,
+        );
+    }
     check_rate_limits(&executed_statements, &mut violations);
     check_fencing_tokens(&soak.cluster.platform.lease_holders(), &mut violations);
     violations
@@ -79,8 +81,11 @@
 
 /// Checks that no caller key appears in the start messages that members received.
 fn check_key_leaks(soak: &Soak, violations: &mut Vec<String>) {
-    for member in 0..soak.cluster.group.members.len() {
-        let start_lines = soak.cluster.group.start_lines(member);
+    let members = soak
+        .groups
+        .iter()
+        .flat_map(|group| (0..group.members.len()).map(move |member| group.start_lines(member)));
+    for start_lines in members {
         let is_leaked = |line: &&String| line.contains(KEY) || line.contains(OTHER_KEY);
         violations.extend(
             start_lines
@@ -184,6 +189,7 @@
 /// Checks that a read shows the last of its required writes that was not discarded, or a later write.
 fn check_reads(
     statements: &[SentStatement],
+    acknowledged: &[Vec<AcknowledgedWrite>],
     log: &[Entry],
     discarded: &[Entry],
     violations: &mut Vec<String>,
@@ -205,17 +211,17 @@
             violations.push(format!("completed read without a row: {read:?}"));
             continue;
         };
-        let required = read
-            .required_writes
-            .iter()
-            .rev()
-            .find(|write| !discarded.contains(write.as_str()));
+        let required = read.required.and_then(|(writer, count)| {
+            let writes = acknowledged[writer][..count].iter().rev();
+            let mut writes = writes.map(|write| write.data.as_str());
+            writes.find(|data| !discarded.contains(data))
+        });
         let Some(required) = required else {
             continue;
         };
         // A read may have shown a write that was discarded later.
         let is_stale = !discarded.contains(row)
-            && log_index.get(row).copied() < log_index.get(required.as_str()).copied();
+            && log_index.get(row).copied() < log_index.get(required).copied();
         if is_stale {
             violations.push(format!(
                 "stale read, {required} is required: {}",
