--- a/crates/filbertbay/tests/soak/fault.rs
+++ b/crates/filbertbay/tests/soak/fault.rs
@@ -6,6 +6,8 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use super::Soak;
 use super::common::store::StoreMode;
@@ -35,37 +37,15 @@
 
 /// Injects faults for `run_duration`, then waits until all of them have ended.
 pub async fn inject(soak: &Rc<Soak>, mut rng: ChaCha8Rng, run_duration: Duration) {
-    let deadline = tokio::time::Instant::now() + run_duration;
-    let mut faults = tokio::task::JoinSet::new();
-    // Another stream, so that a seed still plays the faults that it played before there were eras.
-    let mut returns = rng.clone();
-    returns.set_stream(1);
-    // Half of the seeds stay in the first era to the end.
-    if returns.random() {
-        faults.spawn_local(return_store(Rc::clone(soak), returns, deadline));
-    }
+    let deadline = Instant::now() + run_duration;
+    let mut faults = JoinSet::new();
     // Only one member of a service fails at a time: with two of three down, correctness is guaranteed
     // but not availability.
     let locks: MemberLocks = Rc::new(soak.groups.iter().map(|_| Rc::default()).collect());
-    let mut streams = [2, 3, 4].map(|stream| {
-        let mut rng = rng.clone();
-        rng.set_stream(stream);
-        rng
-    });
-    let [cuts, changes, services] = &mut streams;
-    faults.spawn_local(partition::cut_instances(
-        Rc::clone(soak),
-        cuts.clone(),
-        deadline,
-    ));
-    faults.spawn_local(partition::change_primaries(
-        Rc::clone(soak),
-        Rc::clone(&locks),
-        changes.clone(),
-        deadline,
-    ));
+    let mut services = stream(&rng, 4);
+    inject_series(soak, &rng, &locks, deadline, &mut faults);
     let mut version = 1;
-    while tokio::time::Instant::now() < deadline {
+    while Instant::now() < deadline {
         let interval = Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
         tokio::time::sleep(interval).await;
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
@@ -119,6 +99,32 @@
     soak.cluster.platform.set_mode(StoreMode::Serving);
 }
 
+/// Returns another stream of the seed, which leaves the draws of `rng` as they are.
+fn stream(rng: &ChaCha8Rng, number: u64) -> ChaCha8Rng {
+    let mut other = rng.clone();
+    other.set_stream(number);
+    other
+}
+
+/// Starts the faults that come in series beside the others.
+fn inject_series(
+    soak: &Rc<Soak>,
+    rng: &ChaCha8Rng,
+    locks: &MemberLocks,
+    deadline: Instant,
+    faults: &mut JoinSet<()>,
+) {
+    let mut returns = stream(rng, 1);
+    // Half of the seeds stay in the first era to the end.
+    if returns.random() {
+        faults.spawn_local(return_store(Rc::clone(soak), returns, deadline));
+    }
+    let (cuts, changes) = (stream(rng, 2), stream(rng, 3));
+    faults.spawn_local(partition::cut_instances(Rc::clone(soak), cuts, deadline));
+    let (soak, locks) = (Rc::clone(soak), Rc::clone(locks));
+    faults.spawn_local(partition::change_primaries(soak, locks, changes, deadline));
+}
+
 fn random_condition(rng: &mut ChaCha8Rng) -> NetworkCondition {
     match rng.random_range(0..4) {
         0 => NetworkCondition::Delayed(Duration::from_millis(rng.random_range(20..400))),
@@ -203,11 +209,11 @@
 /// Takes the store away for a moment, again and again, and returns it from a copy some seconds old.
 ///
 /// Waits until no outage is played, which a return would end early.
-async fn return_store(soak: Rc<Soak>, mut rng: ChaCha8Rng, deadline: tokio::time::Instant) {
+async fn return_store(soak: Rc<Soak>, mut rng: ChaCha8Rng, deadline: Instant) {
     let mut random = |range| Duration::from_millis(rng.random_range(range));
     loop {
         tokio::time::sleep(random(RETURN_INTERVAL_MS)).await;
-        if tokio::time::Instant::now() >= deadline {
+        if Instant::now() >= deadline {
             return;
         }
         let (away, age) = (random(RETURN_AWAY_MS), random(RETURN_AGE_MS));
--- a/crates/filbertbay/tests/soak/partition.rs
+++ b/crates/filbertbay/tests/soak/partition.rs
@@ -97,9 +97,10 @@
         [(true, true), (true, true), (true, false), (false, true)][rng.random_range(0..4)];
     let is_store = rng.random_range(0..3) != 0;
     let lost_member = (rng.random_range(0..4) == 0).then(|| rng.random_range(0..3));
-    let (from, is_outbound, is_inbound) = match is_total {
-        true => (None, true, true),
-        false => (from, is_outbound, is_inbound),
+    let (from, is_outbound, is_inbound) = if is_total {
+        (None, true, true)
+    } else {
+        (from, is_outbound, is_inbound)
     };
     let is_store = is_store || is_total;
     let lost_member = lost_member.filter(|_| !is_total);
--- a/crates/filbertbay/tests/soak/proxy.rs
+++ b/crates/filbertbay/tests/soak/proxy.rs
@@ -84,14 +84,12 @@
                 continue;
             }
             let bound = match listener.take() {
-                Some(bound) => bound,
-                None => match TcpListener::bind(self.address).await {
-                    Ok(bound) => bound,
-                    Err(_) => {
-                        tokio::time::sleep(CONDITION_POLL_INTERVAL).await;
-                        continue;
-                    }
-                },
+                Some(bound) => Ok(bound),
+                None => TcpListener::bind(self.address).await,
+            };
+            let Ok(bound) = bound else {
+                tokio::time::sleep(CONDITION_POLL_INTERVAL).await;
+                continue;
             };
             tokio::select! {
                 accepted = bound.accept() => if let Ok((stream, _)) = accepted {
