--- a/crates/filbertbay/tests/soak/fault.rs
+++ b/crates/filbertbay/tests/soak/fault.rs
@@ -6,11 +6,15 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use super::Soak;
 use super::common::store::StoreMode;
-use super::common::{KEY, OTHER_KEY, config_with_workspaces};
-use super::proxy::NetworkCondition;
+use super::common::{KEY, OTHER_KEY};
+use super::fleet;
+use super::partition::{self, MemberLocks};
+use super::proxy::{NetworkCondition, Proxy};
 
 /// Range of the interval between the starts of two faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 150..1_400;
@@ -33,41 +37,34 @@
 
 /// Injects faults for `run_duration`, then waits until all of them have ended.
 pub async fn inject(soak: &Rc<Soak>, mut rng: ChaCha8Rng, run_duration: Duration) {
-    let deadline = tokio::time::Instant::now() + run_duration;
-    let mut faults = tokio::task::JoinSet::new();
-    // Another stream, so that a seed still plays the faults that it played before there were eras.
-    let mut returns = rng.clone();
-    returns.set_stream(1);
-    // Half of the seeds stay in the first era to the end.
-    if returns.random() {
-        faults.spawn_local(return_store(Rc::clone(soak), returns, deadline));
-    }
-    // Only one member fails at a time: with two of three down, correctness is guaranteed but not
-    // availability.
-    let member_lock = Rc::new(Mutex::new(()));
+    let deadline = Instant::now() + run_duration;
+    let mut faults = JoinSet::new();
+    // Only one member of a service fails at a time: with two of three down, correctness is guaranteed
+    // but not availability.
+    let locks: MemberLocks = Rc::new(soak.groups.iter().map(|_| Rc::default()).collect());
+    let mut services = stream(&rng, 4);
+    inject_series(soak, &rng, &locks, deadline, &mut faults);
     let mut version = 1;
-    while tokio::time::Instant::now() < deadline {
+    while Instant::now() < deadline {
         let interval = Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
         tokio::time::sleep(interval).await;
         let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
         let instance = rng.random_range(0..soak.fleet.borrow().instances.len());
         let member = rng.random_range(0..soak.cluster.group.members.len());
         let kind = rng.random_range(0..15);
+        let service = services.random_range(0..soak.groups.len());
         soak.record_event(&format!(
-            "fault {kind} instance {instance} member {member} for {duration:?}"
+            "fault {kind} instance {instance} service {service} member {member} for {duration:?}"
         ));
-        let (soak, member_lock) = (Rc::clone(soak), Rc::clone(&member_lock));
+        let (soak, member_lock) = (Rc::clone(soak), Rc::clone(&locks[service]));
         match kind {
             0 => drop(faults.spawn_local(terminate(soak, instance))),
             1 => drop(faults.spawn_local(pause_process(soak, instance, duration))),
             2 | 3 => drop(faults.spawn_local(kill(soak, instance, duration / 3))),
             4 => soak.fleet.borrow_mut().instances[instance].send_signal("-HUP"),
-            5 => drop(faults.spawn_local(crash(soak, member_lock, member))),
-            6 => drop(faults.spawn_local(stall_replication(soak, member_lock, member))),
-            7 => soak
-                .cluster
-                .group
-                .lose_answers(member, rng.random_range(1..4)),
+            5 => drop(faults.spawn_local(crash(soak, member_lock, service, member))),
+            6 => drop(faults.spawn_local(stall_replication(soak, member_lock, service, member))),
+            7 => soak.groups[service].lose_answers(member, rng.random_range(1..4)),
             8 | 9 => drop(faults.spawn_local(fail_store(soak, rng.random(), duration))),
             10 => soak.cluster.platform.lose_answers(rng.random_range(1..3)),
             11 => soak.cluster.platform.compact(),
@@ -78,12 +75,17 @@
                 } else {
                     &[KEY, "spare"]
                 };
-                let text =
-                    config_with_workspaces(version, &[("shop", keys), ("stall", &[OTHER_KEY])]);
+                let text = fleet::config(version, &[("shop", keys), ("stall", &[OTHER_KEY])]);
                 soak.cluster.platform.put("op/config", &text);
             }
             13 => {
-                drop(faults.spawn_local(blackhole(soak, instance, member, rng.random(), duration)));
+                drop(faults.spawn_local(blackhole(
+                    soak,
+                    instance,
+                    (service, member),
+                    rng.random(),
+                    duration,
+                )));
             }
             _ => drop(faults.spawn_local(degrade_store(
                 soak,
@@ -97,6 +99,32 @@
     soak.cluster.platform.set_mode(StoreMode::Serving);
 }
 
+/// Returns another stream of the seed, which leaves the draws of `rng` as they are.
+fn stream(rng: &ChaCha8Rng, number: u64) -> ChaCha8Rng {
+    let mut other = rng.clone();
+    other.set_stream(number);
+    other
+}
+
+/// Starts the faults that come in series beside the others.
+fn inject_series(
+    soak: &Rc<Soak>,
+    rng: &ChaCha8Rng,
+    locks: &MemberLocks,
+    deadline: Instant,
+    faults: &mut JoinSet<()>,
+) {
+    let mut returns = stream(rng, 1);
+    // Half of the seeds stay in the first era to the end.
+    if returns.random() {
+        faults.spawn_local(return_store(Rc::clone(soak), returns, deadline));
+    }
+    let (cuts, changes) = (stream(rng, 2), stream(rng, 3));
+    faults.spawn_local(partition::cut_instances(Rc::clone(soak), cuts, deadline));
+    let (soak, locks) = (Rc::clone(soak), Rc::clone(locks));
+    faults.spawn_local(partition::change_primaries(soak, locks, changes, deadline));
+}
+
 fn random_condition(rng: &mut ChaCha8Rng) -> NetworkCondition {
     match rng.random_range(0..4) {
         0 => NetworkCondition::Delayed(Duration::from_millis(rng.random_range(20..400))),
@@ -142,22 +170,28 @@
     soak.fleet.borrow_mut().instances[instance].send_signal("-CONT");
 }
 
-async fn crash(soak: Rc<Soak>, member_lock: Rc<Mutex<()>>, member: usize) {
+async fn crash(soak: Rc<Soak>, member_lock: Rc<Mutex<()>>, service: usize, member: usize) {
     let _guard = member_lock.lock().await;
-    soak.cluster.group.crash(member);
+    soak.groups[service].crash(member);
     tokio::time::sleep(MEMBER_FAULT_DURATION).await;
-    soak.cluster.group.restart(member).await;
+    soak.groups[service].restart(member).await;
 }
 
 /// Pauses replication to a member for [`MEMBER_FAULT_DURATION`]; does nothing if it is the primary.
-async fn stall_replication(soak: Rc<Soak>, member_lock: Rc<Mutex<()>>, member: usize) {
+async fn stall_replication(
+    soak: Rc<Soak>,
+    member_lock: Rc<Mutex<()>>,
+    service: usize,
+    member: usize,
+) {
     let _guard = member_lock.lock().await;
-    if soak.cluster.group.primary() == member {
+    let group = &soak.groups[service];
+    if group.primary() == member {
         return;
     }
-    soak.cluster.group.pause_replication(member);
+    group.pause_replication(member);
     tokio::time::sleep(MEMBER_FAULT_DURATION).await;
-    soak.cluster.group.resume_replication(member);
+    group.resume_replication(member);
 }
 
 async fn fail_store(soak: Rc<Soak>, is_unresponsive: bool, duration: Duration) {
@@ -175,11 +209,11 @@
 /// Takes the store away for a moment, again and again, and returns it from a copy some seconds old.
 ///
 /// Waits until no outage is played, which a return would end early.
-async fn return_store(soak: Rc<Soak>, mut rng: ChaCha8Rng, deadline: tokio::time::Instant) {
+async fn return_store(soak: Rc<Soak>, mut rng: ChaCha8Rng, deadline: Instant) {
     let mut random = |range| Duration::from_millis(rng.random_range(range));
     loop {
         tokio::time::sleep(random(RETURN_INTERVAL_MS)).await;
-        if tokio::time::Instant::now() >= deadline {
+        if Instant::now() >= deadline {
             return;
         }
         let (away, age) = (random(RETURN_AWAY_MS), random(RETURN_AGE_MS));
@@ -197,18 +231,24 @@
 async fn blackhole(
     soak: Rc<Soak>,
     instance: usize,
-    member: usize,
+    (service, member): (usize, usize),
     is_caller_side: bool,
     duration: Duration,
 ) {
-    let proxy = if is_caller_side {
-        soak.fleet.borrow().instances[instance].caller_proxy.clone()
+    let proxies: Vec<Proxy> = if is_caller_side {
+        vec![soak.fleet.borrow().instances[instance].caller_proxy.clone()]
     } else {
-        soak.member_proxies[member].clone()
+        let instances = soak.network.members.iter();
+        instances
+            .map(|services| services[service][member].clone())
+            .collect()
     };
-    proxy.set_condition(NetworkCondition::Blackhole);
+    let cut = |proxy: &Proxy| proxy.set_condition(NetworkCondition::Blackhole);
+    let changes: Vec<u64> = proxies.iter().map(cut).collect();
     tokio::time::sleep(duration).await;
-    proxy.set_condition(NetworkCondition::Normal);
+    for (proxy, change) in proxies.iter().zip(changes) {
+        proxy.lift(change);
+    }
 }
 
 async fn degrade_store(
@@ -218,7 +258,7 @@
     duration: Duration,
 ) {
     let proxy = soak.fleet.borrow().instances[instance].store_proxy.clone();
-    proxy.set_condition(condition);
+    let change = proxy.set_condition(condition);
     tokio::time::sleep(duration).await;
-    proxy.set_condition(NetworkCondition::Normal);
+    proxy.lift(change);
 }
