--- a/crates/coordination/examples/release.rs
+++ b/crates/coordination/examples/release.rs
@@ -88,7 +88,7 @@
         ("cut off silently for 5 s", Fate::Cut(seconds(5))),
         ("cut off by resets for 5 s", Fate::CutByResets(seconds(5))),
     ];
-    println!("| instances | of {INSTANCES} | refused counts, s | own word or lease only, s |");
+    println!("| instances | of {INSTANCES} | refused counts, s | acknowledged or lapsed, s |");
     println!("|---|---|---|---|");
     for (name, fate) in cases {
         for affected in [1, 3, 6] {
--- a/crates/coordination/src/succession/release.rs
+++ b/crates/coordination/src/succession/release.rs
@@ -1,9 +1,9 @@
 //! Waits until no instance can use the previous primary of a service any more.
 //!
-//! Only two things prove that an instance uses a primary no longer: its own word, or the end of its
-//! lease. A refused connection proves neither, because a partition may answer with resets. After a
-//! crash, the next process at the same address gives its word: it can't listen there before the
-//! crashed one has ended, and it knows of the change when it acknowledges.
+//! Only two things prove that an instance uses a primary no longer: its own acknowledgement, or the end
+//! of its lease. A refused connection proves neither, because a partition may answer with resets. After
+//! a crash, the next process at the same address acknowledges: it can't listen there before the crashed
+//! one has ended, and it knows of the change by then.
 //!
 //! Once at most a quarter of the instances are missing, none of them can be confirmed by half of the
 //! others without learning of the change. A confirmation from before that counts for
