Apply the entry of an endpoint that was taken for one of a copy once the retention ends

Cause: for 5 s after a return, an entry that doesn't drain is ignored if the endpoint drained before, as it may be that of the copy. quimper-3 saw a-0 draining at 18.42, the entry without the drain came at 21.55, within the 5 s, and was dropped for good; the others had seen the drain begin after the return. At the end of the drain period a-0, the recorded primary, was out of use there for ever.

Change: the ignored entry is kept and applied when the retention ends, unless a newer one came.

Only in eras above 0, so no deployment in force is affected.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -278,7 +278,7 @@
     }
 
     /// Acts on changes of the view and wakes the tasks that wait for them.
-    fn dispatch_changes(self: &Rc<Self>, changes: &[Change]) {
+    pub(crate) fn dispatch_changes(self: &Rc<Self>, changes: &[Change]) {
         if changes.is_empty() {
             return;
         }
--- a/crates/entry/src/view/remembered.rs
+++ b/crates/entry/src/view/remembered.rs
@@ -34,6 +34,8 @@
     outdated: BTreeSet<Arc<str>>,
     /// Evacuations that the copy lacks, by data centre, with the time until which they are kept.
     evacuations: BTreeMap<Arc<str>, Instant>,
+    /// Entries of endpoints that may be of the copy and are not believed yet, by key.
+    withheld: BTreeMap<Arc<str>, Item>,
 }
 
 impl Remembered {
@@ -48,6 +50,7 @@
     /// Records that the store holds the newest known value of a key, or that none is known.
     pub(super) fn forget(&mut self, key: &str) {
         self.outdated.remove(key);
+        self.withheld.remove(key);
     }
 
     /// Keeps the evacuations for the whole time from `now` on, because operators can't write them again
@@ -194,11 +197,29 @@
             known.revision = item.revision;
             if is_own_record(&item.key) {
                 self.remembered.outdated.insert(Arc::clone(&item.key));
+            } else if let KeyKind::Endpoint(_) = dialect.classify_key(&item.key) {
+                let key = Arc::clone(&item.key);
+                self.remembered.withheld.insert(key, item.clone());
             }
         }
         is_kept
     }
 
+    /// Applies the entries of endpoints that were taken for those of a copy and have not been written
+    /// again since, and returns the changes.
+    pub fn apply_withheld(&mut self, now: Instant, dialect: &dyn Dialect) -> Vec<Change> {
+        let since = self.remembered.era_since;
+        let mut changes = Vec::new();
+        if since.is_none_or(|since| now < since + DRAIN_RETENTION) {
+            return changes;
+        }
+        for (key, item) in std::mem::take(&mut self.remembered.withheld) {
+            self.items.remove(&key);
+            self.put(now, item, dialect, &mut changes);
+        }
+        changes
+    }
+
     /// Returns whether an entry that doesn't drain may be the copy of one that drained since.
     fn is_drain_of_copy(
         &mut self,
--- a/crates/entry/src/watcher.rs
+++ b/crates/entry/src/watcher.rs
@@ -537,7 +537,12 @@
         instance.trace.record_lease(&instance);
         let now = instance.now();
         let is_connected = instance.is_store_reachable.get();
-        let removed = instance.view.borrow_mut().expire(now, is_connected);
+        let dialect = Rc::clone(&instance.drivers.dialect);
+        let mut view = instance.view.borrow_mut();
+        let changes = view.apply_withheld(now, dialect.as_ref());
+        let removed = view.expire(now, is_connected);
+        drop(view);
+        instance.dispatch_changes(&changes);
         for id in &removed {
             info!(instance.log, "endpoint is gone"; "endpoint" => id.as_ref());
             instance.pool.remove(id);
