--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -129,7 +129,7 @@
     ///
     /// An earlier process of this instance may have released a primary. This one knows of that for
     /// certain once it knows the store as of its own entry, which was written after its start. Before,
-    /// it may know only what an instance that is behind has told it. A process that is about to exit is
+    /// it may know only what an instance that is behind has sent. A process that is about to exit is
     /// not asked to release primaries, so it may not know of a change.
     pub fn can_confirm(&self) -> bool {
         self.was_listed && !self.is_ended
--- a/crates/coordination/src/succession/promotion.rs
+++ b/crates/coordination/src/succession/promotion.rs
@@ -2,7 +2,7 @@
 //!
 //! An order takes effect some time after it was accepted. What the store says of a member's role may
 //! be as old as a time in which it led before, and a former primary states that it leads until it
-//! hears of the one that replaced it. Only a term above all that were known before the order proves
+//! learns of its successor. Only a term above all that were known before the order proves
 //! the effect.
 //!
 //! An order for the present primary changes nothing, so its term does not rise. A member that already
--- a/crates/coordination/tests/succession.rs
+++ b/crates/coordination/tests/succession.rs
@@ -139,7 +139,7 @@
     }
 
     /// Returns the history with instances that release the primary at once, are then cut off and started
-    /// again, and know only what the missing ones tell them.
+    /// again, and know only what the missing ones send them.
     fn with_restarts(&self) -> Self {
         let late = &self.late;
         let mut history = self.clone();
@@ -353,7 +353,7 @@
 }
 
 /// Guards against a lease that is extended by a process which has just started and knows only what an
-/// instance that is behind has told it, while its predecessor had released the primary.
+/// instance that is behind has sent, while its predecessor had released the primary.
 #[test]
 fn a_process_confirms_others_only_once_it_was_listed() {
     let start = Instant::now();
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -125,7 +125,7 @@
     pub is_store_reachable: Cell<bool>,
     /// Statements of callers that were received and not answered yet.
     pub unanswered_statements: Cell<usize>,
-    /// What the answers of the recorded primaries tell.
+    /// Suspicions that the answers of the recorded primaries raised.
     pub leaders: Leaders,
     /// Statements in flight that rely on primaries.
     pub primary_uses: Uses,
--- a/crates/entry/src/primary.rs
+++ b/crates/entry/src/primary.rs
@@ -2,7 +2,7 @@
 //!
 //! A statement relies on a primary only as long as its instance holds the primary lease and the record
 //! that names the primary stays. Both are checked right before each request to the endpoint, and once
-//! more before the success of a write or commit is told: once the lease has ended, others may have
+//! more before the success of a write or commit is reported: once the lease has ended, others may have
 //! promoted another member without asking this instance.
 
 use std::cell::{Cell, RefCell};
@@ -29,7 +29,7 @@
 }
 
 impl PrimaryRef {
-    /// Records what an answer to a request that was sent at `sent_at` tells of the endpoint, if the same
+    /// Records the state of the endpoint from an answer to a request that was sent at `sent_at`, if the same
     /// record still names it primary: its position, or that it is a replica.
     pub fn record_answer(
         &self,
--- a/crates/entry/src/succession/overtaken.rs
+++ b/crates/entry/src/succession/overtaken.rs
@@ -14,7 +14,7 @@
 use crate::instance::Instance;
 use crate::primary::PrimaryRef;
 
-/// What the answers of the recorded primaries tell.
+/// Suspicions that the answers of the recorded primaries raised.
 #[derive(Debug, Default)]
 pub struct Leaders {
     services: RefCell<BTreeMap<Arc<str>, Leader>>,
--- a/crates/entry/src/succession/promotion.rs
+++ b/crates/entry/src/succession/promotion.rs
@@ -55,7 +55,7 @@
     }
 
     /// Waits until the status of the successor proves that the order is in effect. The role that it
-    /// reports through the store may be old, so that only tells when to ask.
+    /// reports through the store may be old, so it only determines when to query the status.
     async fn wait_for_effect(
         &self,
         next: &Rc<Endpoint>,
