--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,7 @@
 mod metrics_growth;
 mod record;
 mod refusals;
+mod startups;
 mod state_of_connections;
 mod store;
 
@@ -111,6 +112,8 @@
         "connection-state" => state_of_connections::run(&stage),
         "refusals" => refusals::run(&stage),
         "forwarded-answers" => forwarded_answers::run(&stage),
+        "long-keys" => startups::run(&stage, true),
+        "long-databases" => startups::run(&stage, false),
         other => cannot_run(&format!("no case {other:?}")),
     };
     if std::env::var("KEEP").is_err() {
