--- a/review/standin-2/metrics_growth.rs
+++ b/review/standin-2/metrics_growth.rs
@@ -18,7 +18,7 @@
 const MAX_FDS: usize = 4_200;
 
 /// Sessions that stand open and idle on each machine, with a session value each.
-const IDLE_SESSIONS: usize = 1_000;
+const IDLE_SESSIONS: usize = 1_200;
 const VALUE_BYTES: usize = 7_900;
 
 /// Sessions that run transactions of reads, one after the other.
