Count the members that may hold acknowledged commits, not the listed ones

One replica had received nothing for 2 s when the primary and the other replica crashed; it was promoted 5.6 s later.

Cause: the number of members from which a successor is chosen was that of the entries in the store at the moment, plus the previous primary.

Change: a record in the store, filbertbay/replicas/SERVICE, names every member that may hold acknowledged commits, and the least demand that these were acknowledged with. It grows on sight. It shrinks only under the promotion lock, for members that have ended by evidence, once the primary and enough others have received what the primary had after that; or by a named decision of an operator. Members whose entries have lapsed are asked all the same, and count; they can't be promoted. A process that starts again without its log is another member. Instances remember the record over a return of the store from a copy. "no successor chosen" names the members it waits for, and so do the metrics filbertbay_promotion_awaits and filbertbay_replica_set_unlisted. A service without synchronous replicas has no record and makes no further call.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -17,6 +17,7 @@
 pub mod overtaken;
 pub mod promotion;
 pub mod release;
+pub mod replica_set;
 pub mod successor;
 
 use std::sync::Arc;
--- a/crates/coordination/src/succession/successor.rs
+++ b/crates/coordination/src/succession/successor.rs
@@ -6,7 +6,12 @@
 //! that the previous primary had. A service without that demand gets the best member that answers.
 //!
 //! A member that is too busy for a status query still names a position that its log has reached. It may
-//! have received more, so it counts as an answer only if no other member has received as much.
+//! have received more, so it counts as an answer only if no other member has received as much. One whose
+//! log is empty may have started again without what it held. It counts in the last round only, so that its
+//! entry can name the new process before.
+//!
+//! The members are those that may hold acknowledged commits, see [`super::replica_set`]. One whose entry
+//! has lapsed may still answer, and then counts. It can't be promoted, since no instance could use it.
 //!
 //! # Examples
 //!
@@ -18,6 +23,7 @@
 //!     id: id.into(),
 //!     received: Position::new(Term(1), index),
 //!     is_exact: true,
+//!     is_listed: true,
 //!     is_available: true,
 //!     is_same_data_centre: false,
 //!     is_previous: false,
@@ -46,6 +52,8 @@
     pub received: Position,
     /// Whether the member has received nothing beyond `received`.
     pub is_exact: bool,
+    /// Whether the member has an entry, without which it can't be promoted.
+    pub is_listed: bool,
     /// Whether the member is neither draining nor in an evacuated data centre.
     pub is_available: bool,
     /// Whether the member is in the data centre of the previous primary.
@@ -57,7 +65,7 @@
 /// What a successor must have received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Requirement {
-    /// Members of the service, including the previous primary.
+    /// Members that may hold acknowledged commits, including the previous primary.
     pub members: usize,
     /// Replicas that have received a commit before it is acknowledged; zero if the service demands
     /// none.
@@ -75,6 +83,9 @@
     /// The members that answered may lack acknowledged commits.
     #[strum(serialize = "too few members answer to know every acknowledged commit")]
     TooFewAnswers,
+    /// The member with every acknowledged commit has no entry, so it can't be promoted.
+    #[strum(serialize = "the member with every acknowledged commit has no entry")]
+    Unlisted,
     /// A busy member may have received more than the best one.
     #[strum(serialize = "a busy member may have received more")]
     Undecided,
@@ -89,7 +100,7 @@
 /// may be the only one with acknowledged commits; among equals an available one, then one in the data
 /// centre of the previous primary. Without them, available members come first.
 ///
-/// In the last round, [`Shortfall::Undecided`] and [`Shortfall::Behind`] no longer prevent the choice.
+/// In the last round, empty logs count, and [`Shortfall::Undecided`] and [`Shortfall::Behind`] no longer prevent the choice.
 ///
 /// # Errors
 ///
@@ -103,6 +114,7 @@
     let rank = |candidate: &&Candidate| {
         (
             demands_proof.then_some(candidate.received),
+            candidate.is_listed,
             candidate.is_available,
             candidate.received,
             candidate.is_same_data_centre,
@@ -110,9 +122,12 @@
     };
     let best = candidates.iter().max_by_key(rank);
     let best = best.ok_or(Shortfall::NoAnswer)?;
-    if demands_proof && !requirement.is_every_commit_known(candidates, best) {
+    if demands_proof && !requirement.is_every_commit_known(candidates, best, is_last_round) {
         return Err(Shortfall::TooFewAnswers);
     }
+    if !best.is_listed {
+        return Err(Shortfall::Unlisted);
+    }
     if is_last_round {
         return Ok(best);
     }
@@ -140,13 +155,21 @@
     /// `best` counts as an answer in any case, since nothing that it has is lost. The previous primary
     /// counts only if no other member has received more: one that lost its log in a restart proves
     /// nothing.
-    fn is_every_commit_known(&self, candidates: &[Candidate], best: &Candidate) -> bool {
+    fn is_every_commit_known(
+        &self,
+        candidates: &[Candidate],
+        best: &Candidate,
+        is_last_round: bool,
+    ) -> bool {
         let has_all = self
             .previous_position
             .is_some_and(|position| best.received >= position && has_most(candidates, position));
         let counts = |candidate: &&Candidate| {
             let is_known = candidate.is_exact || candidate.id == best.id;
-            is_known && (!candidate.is_previous || has_most(candidates, candidate.received))
+            let may_be_new = candidate.received.index == 0 && best.received.index > 0;
+            is_known
+                && (!may_be_new || is_last_round)
+                && (!candidate.is_previous || has_most(candidates, candidate.received))
         };
         let answers = candidates.iter().filter(counts).count();
         has_all
--- a/crates/coordination/tests/successor.rs
+++ b/crates/coordination/tests/successor.rs
@@ -14,6 +14,7 @@
         id: id.into(),
         received: position(index),
         is_exact: true,
+        is_listed: true,
         is_available: true,
         is_same_data_centre: false,
         is_previous: false,
--- a/crates/entry/src/endpoint.rs
+++ b/crates/entry/src/endpoint.rs
@@ -18,6 +18,11 @@
     /// Identity of the endpoint. The address does not identify it, because another endpoint may
     /// reuse the address.
     pub id: Arc<str>,
+    /// Start of the endpoint's process in Unix milliseconds, if it states it. One that starts again under
+    /// its id may have lost what it held.
+    pub incarnation: Option<u64>,
+    /// Number of this report since then.
+    pub reports: u64,
     /// Service that the endpoint belongs to.
     pub service: Arc<str>,
     /// Address that the endpoint listens on.
@@ -34,6 +39,19 @@
     pub is_cold: bool,
 }
 
+impl Endpoint {
+    /// Returns whether `other` is the same but for its process, which matters to what its log holds and
+    /// not to the work that it may be sent.
+    pub fn serves_like(&self, other: &Self) -> bool {
+        let other = Self {
+            incarnation: self.incarnation,
+            reports: self.reports,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
+
 /// Whether a prepared statement reads or writes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Access {
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -329,6 +329,10 @@
                     "phase" => record, "record_revision" => view.record_revision(service),
                     "fence" => stored.map(|stored| stored.record.fence));
             }
+            Change::ReplicaSet {
+                service,
+                is_loss_accepted,
+            } => self.log_replica_set(service, *is_loss_accepted),
             Change::Instance(name) => {
                 let is_listed = self.view.borrow().peers().contains_key(name);
                 info!(self.log, "instance changed"; "peer" => name.as_ref(), "listed" => is_listed,
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -6,17 +6,23 @@
 //! primary if it answers, promotes the member with the highest position and writes it into the
 //! record. If the lock holder fails midway, the record stays in `Moving`, and the next lock holder
 //! starts the change again.
+//!
+//! In a service with synchronous replicas, a successor is chosen among the members that may hold
+//! acknowledged commits. Which these are stands in a record of its own, since a member's entry may lapse.
 
 mod evidence;
+pub mod loss;
 mod overtaken;
 mod previous;
 mod promotion;
 mod release;
+mod replica_set;
 mod selection;
 
 pub(crate) use self::evidence::{Answer, status};
 pub use self::evidence::{check_reachability, wait_until_released};
 pub use self::overtaken::Leaders;
+use self::replica_set::Maintenance;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -99,6 +105,10 @@
     fault_since: RefCell<BTreeMap<Arc<str>, Instant>>,
     /// Last known endpoint of the primary of each service.
     known_primaries: RefCell<BTreeMap<Arc<str>, Rc<Endpoint>>>,
+    /// Changes of the records of replica sets, by service.
+    maintenances: RefCell<BTreeMap<Arc<str>, Maintenance>>,
+    /// Members that the last failed change of each service waited for.
+    awaited: RefCell<BTreeMap<Arc<str>, BTreeSet<Arc<str>>>>,
 }
 
 /// Change of a primary by this instance; ends on drop, also after a panic.
@@ -121,6 +131,8 @@
             in_progress: RefCell::default(),
             fault_since: RefCell::default(),
             known_primaries: RefCell::default(),
+            maintenances: RefCell::default(),
+            awaited: RefCell::default(),
         });
         coordinator.run()
     });
@@ -157,8 +169,10 @@
         self.forget_primaries(&catalog);
         for service in catalog.services.keys() {
             self.remember_primary(service);
+            self.maintain_replica_set(service, now);
             let Some(reason) = self.detect_fault(service) else {
                 self.fault_since.borrow_mut().remove(service);
+                self.set_awaited(service, BTreeSet::new());
                 continue;
             };
             is_healthy = false;
--- a/crates/entry/src/succession/previous.rs
+++ b/crates/entry/src/succession/previous.rs
@@ -6,6 +6,7 @@
 use filbertbay_coordination::succession::Phase;
 
 use super::Coordinator;
+use super::replica_set::lapsed_endpoints;
 use crate::catalog::Catalog;
 use crate::endpoint::Endpoint;
 
@@ -48,9 +49,14 @@
     /// missing or can't be read may still lead.
     pub(super) fn previous_endpoint(&self, service: &str, id: &str) -> Option<Rc<Endpoint>> {
         let listed = self.instance.view.borrow().endpoint(id).cloned();
-        listed.or_else(|| {
+        let known = listed.or_else(|| {
             let known = self.known_primaries.borrow();
             known.get(service).filter(|known| *known.id == *id).cloned()
+        });
+        known.or_else(|| {
+            let record = self.instance.view.borrow().replica_set(service).cloned()?;
+            let mut lapsed = lapsed_endpoints(&record, service, &[]).into_iter();
+            lapsed.find(|endpoint| *endpoint.id == *id)
         })
     }
 }
--- a/crates/entry/src/succession/selection.rs
+++ b/crates/entry/src/succession/selection.rs
@@ -1,10 +1,12 @@
 //! Demotes the previous primary and selects the member that replaces it.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use filbertbay_coordination::succession::promotion::Baseline;
+use filbertbay_coordination::succession::replica_set::{self, Key, Record};
 use filbertbay_coordination::succession::successor::{self, Candidate, Requirement};
 use filbertbay_state::position::{Position, Term};
 use filbertbay_state::status::Role;
@@ -12,6 +14,7 @@
 use slog::{debug, info, warn};
 
 use super::evidence::{Answer, query, status};
+use super::replica_set::{identify, join, lapsed_endpoints};
 use super::{Coordinator, POLL_INTERVAL, Reason};
 use crate::endpoint::{Endpoint, Request, RequestKind, Status};
 
@@ -35,7 +38,8 @@
     ///
     /// Checked before the change begins, because the service has no primary during a change.
     pub(super) async fn can_switch_over(&self, service: &str) -> bool {
-        if self.synchronous_replicas(service) == 0 {
+        let record = self.instance.view.borrow().replica_set(service).cloned();
+        if self.synchronous_replicas(service, record.as_deref()) == 0 {
             return true;
         }
         let (members, primary) = {
@@ -71,12 +75,6 @@
         can_switch_over
     }
 
-    fn synchronous_replicas(&self, service: &str) -> usize {
-        let catalog = self.instance.catalog();
-        let service = catalog.and_then(|catalog| catalog.services.get(service).copied());
-        service.map_or(0, |service| service.synchronous_replicas)
-    }
-
     /// Demotes the previous primary to a replica if it answers, and returns its term before that and its
     /// last known position.
     pub(super) async fn demote(
@@ -120,6 +118,8 @@
 
     /// Returns the successor among the members that answer, and what they stated. `from` is the previous
     /// primary, and `demoted` what it stated. Asks again for at most [`CATCH_UP_TIMEOUT`].
+    ///
+    /// With synchronous replicas, members whose entries have lapsed are asked too.
     pub(super) async fn select_successor(
         &self,
         service: &str,
@@ -127,12 +127,17 @@
         demoted: Option<Demoted>,
     ) -> Result<(Rc<Endpoint>, Baseline), &'static str> {
         let previous_position = demoted.map(|demoted| demoted.position);
+        let record = self.stored_replica_set(service).await?;
         let deadline = self.instance.now() + CATCH_UP_TIMEOUT;
         loop {
-            let members: Vec<Rc<Endpoint>> = {
+            let mut members: Vec<Rc<Endpoint>> = {
                 let view = self.instance.view.borrow();
                 view.endpoints(service).cloned().collect()
             };
+            let electorate = electorate(record.as_deref(), &members, from);
+            if let Some(record) = record.as_deref() {
+                members.extend(lapsed_endpoints(record, service, &members));
+            }
             let requests = members.iter().map(|member| status(&self.instance, member));
             let answers = join_all(requests).await;
             let candidates: Vec<Candidate> = members
@@ -140,14 +145,20 @@
                 .zip(&answers)
                 .filter_map(|(member, answer)| self.candidate(&members, member, from, *answer))
                 .collect();
-            let requirement = self.requirement(service, &members, from, previous_position);
+            let requirement = Requirement {
+                members: electorate.len(),
+                synchronous_replicas: self.synchronous_replicas(service, record.as_deref()),
+                previous_position,
+            };
             let is_last_round = self.instance.now() >= deadline;
             match successor::choose(&candidates, &requirement, is_last_round) {
                 Ok(best) => {
+                    self.set_awaited(service, BTreeSet::new());
                     info!(self.instance.log, "heir chosen"; "service" => service,
                         "endpoint" => best.id.as_ref(), "received" => %best.received,
                         "former_position" => previous_position.map(|position| position.to_string()),
                         "candidates" => candidates.len(), "members" => requirement.members,
+                        "synchronous_replicas" => requirement.synchronous_replicas,
                         "answers" => describe(&members, &answers));
                     let found = members.iter().find(|member| member.id == best.id);
                     let found = found.cloned().ok_or("the successor is no longer listed")?;
@@ -155,10 +166,14 @@
                     return Ok((Rc::clone(&found), baseline(answers, &found, from, demoted)));
                 }
                 Err(shortfall) if is_last_round => {
+                    let awaited = awaited(record.as_deref(), &electorate, &members, &answers);
                     warn!(self.instance.log, "no successor chosen"; "service" => service,
                         "problem" => %shortfall, "members" => requirement.members,
                         "synchronous_replicas" => requirement.synchronous_replicas,
+                        "waits_for" => join(&awaited),
                         "answers" => describe(&members, &answers));
+                    let ids = awaited.iter().map(|key| Arc::clone(&key.id));
+                    self.set_awaited(service, ids.collect());
                     return Err(shortfall.into());
                 }
                 Err(_) => {}
@@ -170,22 +185,6 @@
         }
     }
 
-    fn requirement(
-        &self,
-        service: &str,
-        members: &[Rc<Endpoint>],
-        from: Option<&Arc<str>>,
-        previous_position: Option<Position>,
-    ) -> Requirement {
-        // An unknown or unlisted primary is a member as well.
-        let is_listed = from.is_some_and(|from| members.iter().any(|member| member.id == *from));
-        Requirement {
-            members: members.len() + usize::from(!is_listed),
-            synchronous_replicas: self.synchronous_replicas(service),
-            previous_position,
-        }
-    }
-
     /// Returns a member as a candidate; `None` if it named no position.
     fn candidate(
         &self,
@@ -206,6 +205,7 @@
             id: Arc::clone(&member.id),
             received,
             is_exact,
+            is_listed: view.endpoint(&member.id).is_some(),
             is_available: !member.is_draining && !is_evacuated && !view.is_gone(&member.id),
             is_same_data_centre: previous
                 .is_some_and(|previous| previous.data_centre == member.data_centre),
@@ -248,6 +248,44 @@
     baseline
 }
 
+/// Returns the members from which a successor is chosen, and those that may hold what it must have.
+fn electorate(
+    record: Option<&Record>,
+    members: &[Rc<Endpoint>],
+    from: Option<&Arc<str>>,
+) -> Vec<Key> {
+    let listed: Vec<Key> = members
+        .iter()
+        .map(|member| identify(record, member))
+        .collect();
+    let mut keys = replica_set::electorate(record, &listed, from);
+    if from.is_none() && record.is_none() {
+        // An unknown primary that was never recorded is a member as well.
+        keys.push(Key {
+            id: "unknown".into(),
+            incarnation: None,
+        });
+    }
+    keys
+}
+
+/// Returns the members that have not stated what they have received.
+fn awaited(
+    record: Option<&Record>,
+    electorate: &[Key],
+    members: &[Rc<Endpoint>],
+    answers: &[Answer],
+) -> Vec<Key> {
+    let has_stated = |key: &&Key| {
+        let mut stated = members.iter().zip(answers);
+        stated.any(|(member, answer)| {
+            identify(record, member) == **key && matches!(answer, Answer::Status(_))
+        })
+    };
+    let silent = electorate.iter().filter(|key| !has_stated(key));
+    silent.cloned().collect()
+}
+
 /// Describes the members' answers for the log.
 fn describe(members: &[Rc<Endpoint>], answers: &[Answer]) -> String {
     let described = members.iter().zip(answers).map(|(member, answer)| {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -17,6 +17,7 @@
 
 use filbertbay_coordination::share::Allocation;
 use filbertbay_coordination::succession::extent::Extent;
+use filbertbay_coordination::succession::replica_set;
 use filbertbay_coordination::succession::{Phase, PrimaryLease, PrimaryRecord};
 use filbertbay_coordination::usage::Record;
 use filbertbay_state::status::Role;
@@ -32,6 +33,9 @@
 /// Prefix of the records of the primaries, followed by the service.
 pub const PRIMARY_RECORD_PREFIX: &str = "filbertbay/lead/";
 
+/// Prefix of the records of the members that may hold acknowledged commits, followed by the service.
+pub const REPLICA_SET_PREFIX: &str = "filbertbay/replicas/";
+
 /// Prefix of the entries of instances, followed by the name.
 pub const INSTANCE_PREFIX: &str = "filbertbay/instance/";
 
@@ -100,6 +104,13 @@
     Evacuation(Arc<str>),
     /// The record of a primary changed.
     PrimaryRecord(Arc<str>),
+    /// The record of the members of a service that may hold acknowledged commits changed.
+    ReplicaSet {
+        /// Service of the members.
+        service: Arc<str>,
+        /// Whether an operator has accepted a loss since the last known record.
+        is_loss_accepted: bool,
+    },
     /// An instance was added, changed or removed.
     Instance(Arc<str>),
     /// The holder of the promotion lock changed.
@@ -127,6 +138,7 @@
     endpoints: BTreeMap<Arc<str>, EndpointEntry>,
     evacuated: BTreeSet<Arc<str>>,
     primary_records: BTreeMap<Arc<str>, VersionedRecord>,
+    replica_sets: BTreeMap<Arc<str>, Rc<replica_set::Record>>,
     /// Instances, listed and former.
     pub roster: Roster,
     /// Holder of each lock with the revision of its entry, by key.
@@ -257,10 +269,15 @@
                 return Err(problem);
             }
         };
-        let old = self.endpoints.get(&id);
-        if old.is_some_and(|old| old.gone_since.is_none() && *old.endpoint == endpoint) {
+        let old = self.endpoints.get_mut(&id);
+        if let Some(old) = old
+            && old.gone_since.is_none()
+            && old.endpoint.serves_like(&endpoint)
+        {
+            old.endpoint = Rc::new(endpoint);
             return Ok(None);
         }
+        let old = self.endpoints.get(&id);
         let since = old
             .and_then(|old| old.draining_since)
             .unwrap_or_else(|| self.earliest_change(now));
@@ -300,6 +317,9 @@
                 .insert(Arc::clone(&service), VersionedRecord { record, revision });
             return Ok(Some(Change::PrimaryRecord(service)));
         }
+        if let Some(service) = key.strip_prefix(REPLICA_SET_PREFIX) {
+            return self.put_replica_set(service.into(), &item.value).map(Some);
+        }
         if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
             let name: Arc<str> = name.into();
             let entry = serde_json::from_slice(&item.value).map_err(unreadable)?;
@@ -334,6 +354,21 @@
         Ok(None)
     }
 
+    fn put_replica_set(&mut self, service: Arc<str>, value: &[u8]) -> Result<Change, String> {
+        let record: replica_set::Record =
+            serde_json::from_slice(value).map_err(|error| error.to_string())?;
+        let last = record.accepted_losses.last().cloned();
+        let known = self
+            .replica_sets
+            .insert(Arc::clone(&service), Rc::new(record));
+        let is_loss_accepted =
+            known.is_some_and(|known| known.accepted_losses.last() != last.as_ref());
+        Ok(Change::ReplicaSet {
+            service,
+            is_loss_accepted,
+        })
+    }
+
     fn remove(
         &mut self,
         now: Instant,
@@ -362,6 +397,12 @@
         if let Some(service) = key.strip_prefix(PRIMARY_RECORD_PREFIX) {
             self.primary_records.remove(service);
             changes.push(Change::PrimaryRecord(service.into()));
+        } else if let Some(service) = key.strip_prefix(REPLICA_SET_PREFIX) {
+            self.replica_sets.remove(service);
+            changes.push(Change::ReplicaSet {
+                service: service.into(),
+                is_loss_accepted: false,
+            });
         } else if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
             let name: Arc<str> = name.into();
             self.roster.remove(now, &name);
@@ -447,6 +488,15 @@
         entries.filter(move |endpoint| endpoint.service.as_ref() == service)
     }
 
+    /// Returns the endpoints of all services whose entries are present.
+    pub fn listed_endpoints(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
+        let listed = self
+            .endpoints
+            .values()
+            .filter(|entry| entry.gone_since.is_none());
+        listed.map(|entry| &entry.endpoint)
+    }
+
     /// Returns the time since which an endpoint has been draining.
     pub fn draining_since(&self, id: &str) -> Option<Instant> {
         self.endpoints
@@ -471,6 +521,11 @@
         self.primary_records.get(service)
     }
 
+    /// Returns the record of the members of a service that may hold acknowledged commits.
+    pub fn replica_set(&self, service: &str) -> Option<&Rc<replica_set::Record>> {
+        self.replica_sets.get(service)
+    }
+
     /// Returns the revision at which the store holds a key, zero if it doesn't.
     pub fn stored_revision(&self, key: &str) -> u64 {
         self.items.get(key).map_or(0, |item| item.revision)
--- a/crates/entry/src/view/remembered.rs
+++ b/crates/entry/src/view/remembered.rs
@@ -1,8 +1,8 @@
 //! What a view keeps against a store that has returned from a copy.
 //!
 //! Revisions order items only in one era. Across eras a configuration is compared by its version, a
-//! record of a primary by fencing token and number of changes, an allocation by its epoch, the record
-//! of usage by its last window. A value that
+//! record of a primary by fencing token and number of changes, a replica set by its number of changes, an
+//! allocation by its epoch, the record of usage by its last window. A value that
 //! is newer than that of the copy is kept at the stored revision, so that it can be written over it.
 //! Operators and endpoints write their values again; until then evacuations and drains are kept.
 
@@ -12,10 +12,12 @@
 use std::time::{Duration, Instant};
 
 use filbertbay_coordination::share::Allocation;
-use filbertbay_coordination::succession::PrimaryRecord;
+use filbertbay_coordination::succession::{PrimaryRecord, replica_set};
 use filbertbay_coordination::usage;
 
-use super::{ALLOCATION_KEY, Change, PRIMARY_RECORD_PREFIX, USAGE_RECORD_KEY, View};
+use super::{
+    ALLOCATION_KEY, Change, PRIMARY_RECORD_PREFIX, REPLICA_SET_PREFIX, USAGE_RECORD_KEY, View,
+};
 use crate::store::{Dialect, Item, KeyKind, era_of};
 
 /// Time for which an evacuation that the copy lacks is kept. Operators write it again before.
@@ -74,7 +76,10 @@
 
 /// Returns whether an instance wrote the key and remembers its value over eras.
 fn is_own_record(key: &str) -> bool {
-    key == ALLOCATION_KEY || key == USAGE_RECORD_KEY || key.starts_with(PRIMARY_RECORD_PREFIX)
+    key == ALLOCATION_KEY
+        || key == USAGE_RECORD_KEY
+        || key.starts_with(PRIMARY_RECORD_PREFIX)
+        || key.starts_with(REPLICA_SET_PREFIX)
 }
 
 /// Returns whether `older` is a usable value of an own record that precedes `newer`.
@@ -93,6 +98,11 @@
         };
         return sealed(newer).is_some_and(|newer| sealed(older).is_none_or(|older| older < newer));
     }
+    if key.starts_with(REPLICA_SET_PREFIX) {
+        let record = |value: &[u8]| serde_json::from_slice::<replica_set::Record>(value).ok();
+        return record(newer)
+            .is_some_and(|newer| record(older).is_none_or(|older| older.precedes(&newer)));
+    }
     let record = |value: &[u8]| serde_json::from_slice::<PrimaryRecord>(value).ok();
     let Some(newer) = record(newer) else {
         return false;
@@ -125,7 +135,8 @@
             .collect()
     }
 
-    /// Returns the records of primaries and of usage and the allocation of lanes, as known here.
+    /// Returns the records of primaries, replica sets and usage and the allocation of lanes, as known
+    /// here.
     pub fn own_records(&self) -> Vec<Item> {
         let items = self.items.values();
         items
