Commands that show replica sets and accept the loss of members

filbertbay replica-sets and filbertbay accept-loss talk to the store of an entry instance's settings. Tested by platform/replica_set:: an_operator_can_accept_the_loss_of_named_members, which calls the same function; the commands themselves were not run yet.

--- a/crates/filbertbay/src/lib.rs
+++ b/crates/filbertbay/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod control;
 pub mod daemon;
+pub mod loss;
 pub mod metric;
 pub mod pool;
 pub mod published;
--- a/crates/filbertbay/src/main.rs
+++ b/crates/filbertbay/src/main.rs
@@ -5,7 +5,7 @@
 
 use bpaf::Bpaf;
 use filbertbay::settings::Settings;
-use filbertbay::{daemon, log};
+use filbertbay::{daemon, log, loss};
 use miette::{IntoDiagnostic, Result};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -29,6 +29,36 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Shows which members of each service may hold acknowledged commits.
+    #[bpaf(command("replica-sets"))]
+    ReplicaSets {
+        /// File with the settings of an entry instance, in JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Gives up the logs of members that will not come back; commits that only they have are lost.
+    #[bpaf(command("accept-loss"))]
+    AcceptLoss {
+        /// File with the settings of an entry instance, in JSON
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+        /// Service of the members
+        #[bpaf(argument("SERVICE"))]
+        service: String,
+        /// Who decides this
+        #[bpaf(argument("NAME"))]
+        author: String,
+        /// Why the members will not come back
+        #[bpaf(argument("TEXT"))]
+        reason: String,
+        /// Member to give up, as `no successor chosen` names it in the log; may be repeated
+        #[bpaf(
+            long("member"),
+            argument("MEMBER"),
+            some("name the members to give up")
+        )]
+        members: Vec<String>,
+    },
     /// Checks a settings file and ends with 0 if it can be used.
     #[bpaf(command)]
     Check {
@@ -41,6 +71,14 @@
 fn main() -> Result<()> {
     match command().run() {
         Command::Entry { check, settings } => entry(&settings, check),
+        Command::ReplicaSets { settings } => loss::show(&settings),
+        Command::AcceptLoss {
+            settings,
+            service,
+            author,
+            reason,
+            members,
+        } => loss::accept(&settings, &service, &members, &author, &reason),
         Command::Run { settings } => run(Settings::read(&settings)?),
         Command::Check { settings } => {
             Settings::read(&settings)?;
