--- a/crates/entry/src/succession/loss.rs
+++ b/crates/entry/src/succession/loss.rs
@@ -34,7 +34,7 @@
 }
 
 /// Removes members from the replica set of a service, so that a successor is chosen without them, and
-/// returns the identities that were given up. Commits that only these members have are lost.
+/// returns the identities that were given up. Commits that no other member has are lost.
 ///
 /// `members` are ids, which stand for every incarnation, or identities as in the log
 /// (`id@incarnation`).
--- a/crates/filbertbay/src/loss.rs
+++ b/crates/filbertbay/src/loss.rs
@@ -63,7 +63,7 @@
     };
     let accepting = loss::accept(drivers.store.as_ref(), service, members, decision);
     for member in block_on(accepting)?.into_diagnostic()? {
-        println!("{service}: commits that only {member} has are given up");
+        println!("{service}: the log of {member} is given up");
     }
     Ok(())
 }
--- a/crates/filbertbay/src/main.rs
+++ b/crates/filbertbay/src/main.rs
@@ -36,7 +36,7 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
-    /// Gives up the logs of members that will not come back; commits that only they have are lost.
+    /// Gives up the logs of members that will not come back; commits that no other member has are lost.
     #[bpaf(command("accept-loss"))]
     AcceptLoss {
         /// File with the settings of an entry instance, in JSON
