Order the same member again while an order to promote is pending

Cause: an order without an answer ended the change, and the next attempt could order and record another member before the first order took effect.

Change: the record of the primary names the ordered member before the order is sent, so that the next holder of the lock knows it too. While that order is pending (until it is answered with no effect, at most 10 s), only the same member is ordered, which changes nothing if it leads already. A planned change doesn't begin meanwhile.

Why it works: the late execution of an order for the present primary has no effect, and no other primary is recorded before the order can be taken to be void.

One more write to the store for each change of primary.

--- a/crates/coordination/src/succession.rs
+++ b/crates/coordination/src/succession.rs
@@ -75,6 +75,9 @@
     /// Term that the primary stated when it was recorded, if it is known.
     #[serde(default)]
     pub term: Option<Term>,
+    /// Member whose promotion was ordered and may still take effect, see [`promotion::ORDER_LIFETIME`].
+    #[serde(default)]
+    pub pending_order: Option<Arc<str>>,
 }
 
 impl PrimaryRecord {
--- a/crates/coordination/src/succession/promotion.rs
+++ b/crates/coordination/src/succession/promotion.rs
@@ -9,6 +9,10 @@
 //! stated before the order that it leads the newest known term is therefore accepted too, once the
 //! order would have taken effect.
 //!
+//! An order that got no answer may take effect much later, and would then replace whichever member leads.
+//! For the present primary it changes nothing. As long as it is pending, the same member is therefore
+//! ordered again and no other one.
+//!
 //! # Examples
 //!
 //! ```
@@ -33,6 +37,10 @@
 /// Time after which an accepted order has taken effect if it changes anything.
 pub const EFFECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which an order without an answer is taken to have no effect any more. The platform states
+/// no limit; the longest outages of the users' daily runs last 9 s.
+pub const ORDER_LIFETIME: Duration = Duration::from_secs(10);
+
 /// What the members stated before an order to promote one of them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Baseline {
--- a/crates/coordination/src/succession/successor.rs
+++ b/crates/coordination/src/succession/successor.rs
@@ -86,6 +86,9 @@
     /// The member with every acknowledged commit has no entry, so it can't be promoted.
     #[strum(serialize = "the member with every acknowledged commit has no entry")]
     Unlisted,
+    /// An order for another member is pending.
+    #[strum(serialize = "an order to promote another member may still take effect")]
+    OrderPending,
     /// A busy member may have received more than the best one.
     #[strum(serialize = "a busy member may have received more")]
     Undecided,
@@ -149,6 +152,35 @@
     Ok(best)
 }
 
+/// Returns the member `id`, whose promotion was ordered without an answer, instead of the choice of
+/// [`choose`]. It had every acknowledged commit when it was ordered, and none was acknowledged since.
+///
+/// # Errors
+///
+/// Returns [`Shortfall::OrderPending`] if the member doesn't state a position or can't be promoted. With
+/// synchronous replicas, also if it lacks what another one has received, and
+/// [`Shortfall::TooFewAnswers`] like [`choose`]: it may have lost its log.
+pub fn repeat_order<'a>(
+    candidates: &'a [Candidate],
+    requirement: &Requirement,
+    id: &str,
+    choice: Result<&'a Candidate, Shortfall>,
+) -> Result<&'a Candidate, Shortfall> {
+    let ordered = candidates.iter().find(|candidate| *candidate.id == *id);
+    let ordered = ordered.filter(|candidate| candidate.is_exact && candidate.is_listed);
+    let ordered = ordered.ok_or(Shortfall::OrderPending)?;
+    let others = candidates.iter().map(|candidate| candidate.received);
+    let highest = others.max().unwrap_or_default();
+    if requirement.synchronous_replicas == 0 {
+        return Ok(ordered);
+    }
+    match choice {
+        Err(Shortfall::TooFewAnswers) => Err(Shortfall::TooFewAnswers),
+        _ if ordered.received < highest => Err(Shortfall::OrderPending),
+        _ => Ok(ordered),
+    }
+}
+
 impl Requirement {
     /// Returns whether every acknowledged commit is in the log of a member that answered.
     ///
--- a/crates/entry/src/succession.rs
+++ b/crates/entry/src/succession.rs
@@ -7,6 +7,9 @@
 //! record. If the lock holder fails midway, the record stays in `Moving`, and the next lock holder
 //! starts the change again.
 //!
+//! An order without an answer may still take effect, so the record names its member from before the order
+//! until it is answered. While it is pending, no other member is ordered.
+//!
 //! In a service with synchronous replicas, a successor is chosen among the members that may hold
 //! acknowledged commits. Which these are stands in a record of its own, since a member's entry may lapse.
 
@@ -22,6 +25,7 @@
 pub(crate) use self::evidence::{Answer, status};
 pub use self::evidence::{check_reachability, wait_until_released};
 pub use self::overtaken::Leaders;
+use self::promotion::OrderError;
 use self::replica_set::Maintenance;
 
 use std::cell::RefCell;
@@ -268,6 +272,10 @@
         if reason == Reason::Overtaken && !self.is_overtaken(service).await {
             return false;
         }
+        // A pending order may only be repeated, which would lead back to the same primary.
+        if reason.is_planned() && self.pending_order(service).is_some() {
+            return false;
+        }
         if reason.is_planned() && !self.can_switch_over(service).await {
             return false;
         }
@@ -312,6 +320,7 @@
         lock: Held,
     ) -> Result<Arc<str>, &'static str> {
         let from = self.previous_primary(service);
+        let pending_order = self.pending_order(service);
         let record = PrimaryRecord {
             fence: lock.fence,
             phase: Phase::Moving,
@@ -319,6 +328,7 @@
             holder: Arc::clone(&self.instance.settings().name),
             change: self.next_change(service),
             term: None,
+            pending_order: pending_order.clone(),
         };
         let release_record = self.write_record(service, &record).await?;
         self.wait_for_release(service, &release_record).await?;
@@ -327,16 +337,35 @@
             .and_then(|id| self.previous_endpoint(service, id));
         let demoted = self.demote(previous.as_ref(), reason).await;
         let (next, baseline) = self
-            .select_successor(service, from.as_ref(), demoted)
+            .select_successor(service, from.as_ref(), demoted, pending_order.as_ref())
             .await?;
-        let term = self.promote(service, &next, baseline, lock).await?;
-        let record = PrimaryRecord {
-            phase: Phase::Leading(Arc::clone(&next.id)),
+        let ordered = PrimaryRecord {
             change: record.change + 1,
-            term: Some(term),
+            pending_order: Some(Arc::clone(&next.id)),
+            ..record.clone()
+        };
+        self.write_record(service, &ordered).await?;
+        let (phase, term) = match self.promote(service, &next, baseline, lock).await {
+            Ok(term) => (Phase::Leading(Arc::clone(&next.id)), Some(term)),
+            Err(OrderError::Ineffective(problem)) => {
+                info!(self.instance.log, "order to promote had no effect"; "service" => service.as_ref(),
+                    "endpoint" => next.id.as_ref(), "problem" => problem);
+                (Phase::Moving, None)
+            }
+            Err(OrderError::Pending(problem)) => return Err(problem),
+        };
+        let is_leading = term.is_some();
+        let record = PrimaryRecord {
+            phase,
+            change: ordered.change + 1,
+            term,
+            // An earlier order for the same member may still be pending.
             ..record
         };
         self.write_record(service, &record).await?;
+        if !is_leading {
+            return Err("the order to promote had no effect");
+        }
         Ok(Arc::clone(&next.id))
     }
 
@@ -346,6 +375,13 @@
         self.promotion_lock.renew(&self.instance).await.is_some()
     }
 
+    /// Returns the member whose promotion was ordered without an answer and may still take effect.
+    fn pending_order(&self, service: &str) -> Option<Arc<str>> {
+        let view = self.instance.view.borrow();
+        let stored = view.primary_record(service)?;
+        stored.pending_order(self.instance.now()).cloned()
+    }
+
     fn next_change(&self, service: &str) -> u64 {
         let view = self.instance.view.borrow();
         let stored = view.primary_record(service);
--- a/crates/entry/src/succession/promotion.rs
+++ b/crates/entry/src/succession/promotion.rs
@@ -14,7 +14,7 @@
 use crate::endpoint::Endpoint;
 use crate::instance::Instance;
 use crate::lock::Held;
-use crate::store::Promotion;
+use crate::store::{ErrorKind, Promotion};
 
 /// Longest wait for a promoted member to become primary.
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(3);
@@ -25,6 +25,15 @@
 /// Interval between two status queries to a promoted member.
 const QUERY_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Why an order did not lead to a known primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum OrderError {
+    /// The order was not sent, or was rejected; it will have no effect.
+    Ineffective(&'static str),
+    /// The order may take effect later.
+    Pending(&'static str),
+}
+
 impl Coordinator {
     /// Orders the promotion, waits until the member proves that it is primary, and returns its term.
     pub(super) async fn promote(
@@ -33,11 +42,13 @@
         next: &Rc<Endpoint>,
         baseline: Baseline,
         lock: Held,
-    ) -> Result<Term, &'static str> {
+    ) -> Result<Term, OrderError> {
         // Another change of this instance may have acquired the lock again, under a higher token.
         let confirmed = self.promotion_lock.confirm(&self.instance).await;
         if confirmed.is_none_or(|held| held.fence != lock.fence) {
-            return Err("the promotion lock was lost before the promotion");
+            return Err(OrderError::Ineffective(
+                "the promotion lock was lost before the promotion",
+            ));
         }
         let holder = Arc::clone(&self.instance.settings().name);
         let failover = &self.instance.drivers.failover;
@@ -45,11 +56,18 @@
             .promote(service, &next.id, &holder, lock.fence)
             .await
         {
-            Ok(Promotion::Accepted) => self.wait_for_effect(next, baseline).await,
-            Ok(Promotion::Absent) => Err("the successor is not running"),
+            Ok(Promotion::Accepted) => self
+                .wait_for_effect(next, baseline)
+                .await
+                .map_err(OrderError::Pending),
+            Ok(Promotion::Absent) => Err(OrderError::Ineffective("the successor is not running")),
             Err(error) => {
                 warn!(self.instance.log, "promotion not confirmed"; "error" => %error);
-                Err("the platform did not confirm the promotion")
+                let problem = "the platform did not confirm the promotion";
+                Err(match error.kind() {
+                    ErrorKind::Refused => OrderError::Ineffective(problem),
+                    ErrorKind::Unanswered | ErrorKind::Ended => OrderError::Pending(problem),
+                })
             }
         }
     }
--- a/crates/entry/src/succession/selection.rs
+++ b/crates/entry/src/succession/selection.rs
@@ -7,7 +7,7 @@
 
 use filbertbay_coordination::succession::promotion::Baseline;
 use filbertbay_coordination::succession::replica_set::{self, Key, Record};
-use filbertbay_coordination::succession::successor::{self, Candidate, Requirement};
+use filbertbay_coordination::succession::successor::{self, Candidate, Requirement, Shortfall};
 use filbertbay_state::position::{Position, Term};
 use filbertbay_state::status::Role;
 use futures::future::join_all;
@@ -119,12 +119,14 @@
     /// Returns the successor among the members that answer, and what they stated. `from` is the previous
     /// primary, and `demoted` what it stated. Asks again for at most [`CATCH_UP_TIMEOUT`].
     ///
-    /// With synchronous replicas, members whose entries have lapsed are asked too.
+    /// With synchronous replicas, members whose entries have lapsed are asked too. While an order for a
+    /// member is pending, no other one is returned.
     pub(super) async fn select_successor(
         &self,
         service: &str,
         from: Option<&Arc<str>>,
         demoted: Option<Demoted>,
+        pending_order: Option<&Arc<str>>,
     ) -> Result<(Rc<Endpoint>, Baseline), &'static str> {
         let previous_position = demoted.map(|demoted| demoted.position);
         let record = self.stored_replica_set(service).await?;
@@ -151,7 +153,12 @@
                 previous_position,
             };
             let is_last_round = self.instance.now() >= deadline;
-            match successor::choose(&candidates, &requirement, is_last_round) {
+            let chosen = successor::choose(&candidates, &requirement, is_last_round);
+            let chosen = match pending_order {
+                Some(id) => successor::repeat_order(&candidates, &requirement, id, chosen),
+                None => chosen,
+            };
+            match chosen {
                 Ok(best) => {
                     self.set_awaited(service, BTreeSet::new());
                     info!(self.instance.log, "heir chosen"; "service" => service,
@@ -167,13 +174,8 @@
                 }
                 Err(shortfall) if is_last_round => {
                     let awaited = awaited(record.as_deref(), &electorate, &members, &answers);
-                    warn!(self.instance.log, "no successor chosen"; "service" => service,
-                        "problem" => %shortfall, "members" => requirement.members,
-                        "synchronous_replicas" => requirement.synchronous_replicas,
-                        "waits_for" => join(&awaited),
-                        "answers" => describe(&members, &answers));
-                    let ids = awaited.iter().map(|key| Arc::clone(&key.id));
-                    self.set_awaited(service, ids.collect());
+                    let answers = describe(&members, &answers);
+                    self.report_shortfall(service, shortfall, &requirement, &awaited, &answers);
                     return Err(shortfall.into());
                 }
                 Err(_) => {}
@@ -185,6 +187,23 @@
         }
     }
 
+    /// Says why nobody is promoted, and names the members that have stated nothing.
+    fn report_shortfall(
+        &self,
+        service: &str,
+        shortfall: Shortfall,
+        requirement: &Requirement,
+        awaited: &[Key],
+        answers: &str,
+    ) {
+        warn!(self.instance.log, "no successor chosen"; "service" => service,
+            "problem" => %shortfall, "members" => requirement.members,
+            "synchronous_replicas" => requirement.synchronous_replicas,
+            "waits_for" => join(awaited), "answers" => answers);
+        let ids = awaited.iter().map(|key| Arc::clone(&key.id));
+        self.set_awaited(service, ids.collect());
+    }
+
     /// Returns a member as a candidate; `None` if it named no position.
     fn candidate(
         &self,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -17,6 +17,7 @@
 
 use filbertbay_coordination::share::Allocation;
 use filbertbay_coordination::succession::extent::Extent;
+use filbertbay_coordination::succession::promotion::ORDER_LIFETIME;
 use filbertbay_coordination::succession::replica_set;
 use filbertbay_coordination::succession::{Phase, PrimaryLease, PrimaryRecord};
 use filbertbay_coordination::usage::Record;
@@ -83,6 +84,16 @@
     pub record: PrimaryRecord,
     /// Revision at which the record was first known; kept if it is written again unchanged.
     pub revision: u64,
+    /// Time at which this instance first knew it.
+    pub known_since: Instant,
+}
+
+impl VersionedRecord {
+    /// Returns the member whose promotion was ordered and may still take effect.
+    pub fn pending_order(&self, now: Instant) -> Option<&Arc<str>> {
+        let is_pending = now < self.known_since + ORDER_LIFETIME;
+        self.record.pending_order.as_ref().filter(|_| is_pending)
+    }
 }
 
 /// Endpoint with the times at which its drain and the removal of its entry were first seen.
@@ -313,8 +324,12 @@
             if known.is_some_and(|known| known.record == record) {
                 return Ok(None);
             }
-            self.primary_records
-                .insert(Arc::clone(&service), VersionedRecord { record, revision });
+            let stored = VersionedRecord {
+                record,
+                revision,
+                known_since: now,
+            };
+            self.primary_records.insert(Arc::clone(&service), stored);
             return Ok(Some(Change::PrimaryRecord(service)));
         }
         if let Some(service) = key.strip_prefix(REPLICA_SET_PREFIX) {
