--- a/crates/coordination/src/succession/replica_set.rs
+++ b/crates/coordination/src/succession/replica_set.rs
@@ -1,7 +1,7 @@
-//! Which members of a service may hold commits that callers were told of.
+//! Members of a service that may hold acknowledged commits.
 //!
 //! A service with synchronous replicas acknowledges a commit once the primary and that many replicas
-//! have received it. Nobody tells which replicas these were, so every member that was listed meanwhile
+//! have received it. It isn't stated which replicas these were, so every member that was listed meanwhile
 //! may be one of them, also after its entry has lapsed: an entry says whether a member may be sent work,
 //! not what its log holds. The [`Record`] of a service names these members. It is kept in the store, so
 //! that a decider that starts later counts the same members.
@@ -12,8 +12,8 @@
 //!   received everything that the primary had after that.
 //! - [`Record::accept_loss`] drops members whose logs an operator gives up by name.
 //!
-//! A process that starts again without its log is another member under the same id; its incarnation
-//! tells them apart ([`Record::identify`]).
+//! A process that starts again without its log is another member under the same id, with an incarnation of
+//! its own ([`Record::identify`]).
 //!
 //! The number of synchronous replicas in a record is the least that any commit which is not proven to be
 //! on enough members was acknowledged with. A lower number is recorded at once. A higher one, and the
@@ -35,7 +35,7 @@
 //! };
 //! let mut record = Record::default();
 //! assert!(record.admit(1, &[member("i-0"), member("i-1"), member("i-2")]));
-//! assert!(!record.admit(1, &[member("i-0")]), "a lapsed entry removes nobody");
+//! assert!(!record.admit(1, &[member("i-0")]), "a lapsed entry removes no member");
 //!
 //! let position = Position::new(Term(1), 8);
 //! let evidence = Evidence {
@@ -183,7 +183,7 @@
     }
 
     /// Returns the identity of the log of a listed member. A process that started again states a later
-    /// start, and its reports are counted anew; one whose count goes on is the recorded one.
+    /// start, and its reports are counted anew; one whose count continues is the recorded one.
     pub fn identify(&self, id: &Arc<str>, incarnation: Option<u64>, reports: u64) -> Key {
         let stated = Key {
             id: Arc::clone(id),
--- a/crates/coordination/tests/replica_set.rs
+++ b/crates/coordination/tests/replica_set.rs
@@ -62,7 +62,7 @@
 }
 
 /// Guards against a process that started again without its log being taken for the recorded one, and
-/// against one that goes on being taken for another because its stated start varies.
+/// against one that continues being taken for another because its stated start varies.
 #[test]
 fn a_process_that_counts_its_reports_anew_is_another_member() {
     let mut record = record_of(1, &[member(0, 1)]);
--- a/crates/entry/src/succession/replica_set.rs
+++ b/crates/entry/src/succession/replica_set.rs
@@ -205,7 +205,7 @@
         };
         let outcome = async {
             let primary = self.stored_primary(service).await?;
-            ended.retain(|key| *key != primary.1);
+            ended.retain(|key| *key != primary);
             let evidence = self
                 .settling_evidence(service, &primary, ended, synchronous_replicas)
                 .await?;
@@ -215,7 +215,7 @@
             let next = next.ok_or("too few members have what the primary has")?;
             let held = self.promotion_lock.confirm(&self.instance).await;
             let is_held = held.is_some_and(|held| held.fence == lock.fence);
-            let is_same = self.instance.view.borrow().primary(service) == Some(primary.0);
+            let is_same = self.instance.view.borrow().primary(service) == Some(primary.id);
             if !is_held || !is_same || self.in_progress.borrow().contains(service) {
                 return Err("a change of primary may have begun");
             }
@@ -230,7 +230,7 @@
     }
 
     /// Returns the primary of a service if the store names the same one as the view.
-    async fn stored_primary(&self, service: &str) -> Result<(Arc<str>, Key), &'static str> {
+    async fn stored_primary(&self, service: &str) -> Result<Key, &'static str> {
         let key: Arc<str> = format!("{PRIMARY_RECORD_PREFIX}{service}").into();
         let listing = self.instance.drivers.store.list(&key).await;
         let listing = listing.map_err(|_| "the store did not list the record of the primary")?;
@@ -245,14 +245,14 @@
         let endpoint = primary.and_then(|id| view.endpoint(&id));
         let endpoint = endpoint.ok_or("the primary is being changed")?;
         let record = view.replica_set(service).map(AsRef::as_ref);
-        Ok((Arc::clone(&endpoint.id), identify(record, endpoint)))
+        Ok(identify(record, endpoint))
     }
 
     /// Asks the primary for its position, then the other members for what they have received.
     async fn settling_evidence(
         &self,
         service: &str,
-        primary: &(Arc<str>, Key),
+        primary: &Key,
         mut ended: BTreeSet<Key>,
         synchronous_replicas: usize,
     ) -> Result<Evidence, &'static str> {
@@ -271,14 +271,14 @@
             }
             self.instance.pool.remove(&endpoint.id);
         }
-        let leader = members.iter().find(|member| member.id == primary.0);
+        let leader = members.iter().find(|member| member.id == primary.id);
         let leader = leader.ok_or("the primary is being changed")?;
         let stated = status(&self.instance, leader).await.status();
         let stated = stated.filter(|status| status.role == Role::Primary);
         let position = stated
             .ok_or("the primary does not state its position")?
             .received;
-        let others = members.iter().filter(|member| member.id != primary.0);
+        let others = members.iter().filter(|member| member.id != primary.id);
         let answers = others.map(|member| async {
             let answer = status(&self.instance, member).await;
             Some((identify(Some(&record), member), answer.status()?.received))
@@ -286,7 +286,7 @@
         let received: Vec<Option<(Key, Position)>> = join_all(answers).await;
         Ok(Evidence {
             synchronous_replicas,
-            primary: primary.1.clone(),
+            primary: primary.clone(),
             position,
             received: received.into_iter().flatten().collect(),
             ended,
--- a/crates/entry/src/succession/selection.rs
+++ b/crates/entry/src/succession/selection.rs
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Says why nobody is promoted, and names the members that have stated nothing.
+    /// Logs why no member is promoted, and which ones have not stated what they have received.
     fn report_shortfall(
         &self,
         service: &str,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -5,9 +5,11 @@
 //! reverts while the process runs. After the store has returned from a copy, `remembered` keeps what
 //! the copy may not take back.
 
+mod record;
 mod remembered;
 mod roster;
 
+pub use self::record::VersionedRecord;
 pub use self::roster::{InstanceEntry, Roster};
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,9 +19,8 @@
 
 use filbertbay_coordination::share::Allocation;
 use filbertbay_coordination::succession::extent::Extent;
-use filbertbay_coordination::succession::promotion::ORDER_LIFETIME;
 use filbertbay_coordination::succession::replica_set;
-use filbertbay_coordination::succession::{Phase, PrimaryLease, PrimaryRecord};
+use filbertbay_coordination::succession::{Phase, PrimaryLease};
 use filbertbay_coordination::usage::Record;
 use filbertbay_state::status::Role;
 use serde::{Deserialize, Serialize};
@@ -77,25 +78,6 @@
     pub era: u64,
 }
 
-/// Record of a primary, with the revision at which it was written.
-#[derive(Clone, Debug)]
-pub struct VersionedRecord {
-    /// Newest known record, which a store that returned from a copy may lack.
-    pub record: PrimaryRecord,
-    /// Revision at which the record was first known; kept if it is written again unchanged.
-    pub revision: u64,
-    /// Time at which this instance first knew it.
-    pub known_since: Instant,
-}
-
-impl VersionedRecord {
-    /// Returns the member whose promotion was ordered and may still take effect.
-    pub fn pending_order(&self, now: Instant) -> Option<&Arc<str>> {
-        let is_pending = now < self.known_since + ORDER_LIFETIME;
-        self.record.pending_order.as_ref().filter(|_| is_pending)
-    }
-}
-
 /// Endpoint with the times at which its drain and the removal of its entry were first seen.
 #[derive(Clone, Debug)]
 struct EndpointEntry {
